--- /dev/null
+++ b/crates/cookie/src/config.rs
@@ -0,0 +1,41 @@
+//! Settings of the decisions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::{HealthConfig, PlaceConfig};
+
+/// Settings of a [`crate::Balancer`].
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Failure domain of this VM.
+    pub domain: Arc<str>,
+    /// Idle time after which a flow is forgotten while no manifest says one.
+    pub flow_idle: Duration,
+    /// Age after which a flow may be discarded; targets that are gone are
+    /// remembered for so long.
+    pub flow_max_age: Duration,
+    /// Most flows that are observed at once; further ones are forwarded unobserved.
+    pub max_flows: usize,
+    /// Time for which packets with an unknown cookie are dropped, before their
+    /// flow is reset: another balancer may have learned of the target earlier.
+    pub unknown_grace: Duration,
+    /// Choice of targets.
+    pub place: PlaceConfig,
+    /// Detection of silent targets.
+    pub health: HealthConfig,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            domain: Arc::from(""),
+            flow_idle: Duration::from_secs(15),
+            flow_max_age: Duration::from_secs(60),
+            max_flows: 200_000,
+            unknown_grace: Duration::from_secs(2),
+            place: PlaceConfig::default(),
+            health: HealthConfig::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cookie/src/directory.rs
@@ -0,0 +1,319 @@
+//! The targets that are known, present and past.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hashbrown::HashMap;
+
+use crate::{Cookie, Health, Lifecycle, Load, TargetEntry, TargetId};
+
+/// Time for which an entry that vanished while the store had trouble may still
+/// come back; its flows are kept so long.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_500);
+
+/// Place of a target in the directory; reused once the target is forgotten.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TargetKey(u32);
+
+/// A change of one entry.
+#[derive(Clone, Debug, PartialEq)]
+pub enum TargetChange {
+    /// The entry as it is now.
+    Present(TargetEntry),
+    /// The entry can't be read; its target gets no new flows.
+    Unreadable(TargetId),
+    /// There is no such entry any more.
+    Gone(TargetId),
+}
+
+/// Whether a target is listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Presence {
+    /// Its entry is there.
+    Listed,
+    /// Its entry can't be read.
+    Unreadable,
+    /// Its entry vanished while the store had trouble; it may come back.
+    Lapsed {
+        /// When it vanished.
+        since: Duration,
+    },
+    /// It has left or died.
+    Gone {
+        /// When that was learned.
+        since: Duration,
+    },
+}
+
+/// A target with what this balancer knows of it.
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub entry: TargetEntry,
+    pub presence: Presence,
+    /// Slow until this time.
+    pub cold_until: Duration,
+    pub load: Load,
+    pub health: Health,
+}
+
+impl Target {
+    /// Whether it may take new flows.
+    pub fn takes_flows(&self) -> bool {
+        self.presence == Presence::Listed && self.entry.lifecycle == Lifecycle::Ready
+    }
+
+    /// Whether its flows can't go on.
+    pub fn is_gone(&self) -> bool {
+        matches!(self.presence, Presence::Gone { .. })
+    }
+}
+
+/// What a change of the directory did; told in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum TargetNews {
+    /// The target was not known.
+    Added,
+    /// Its entry changed.
+    Changed,
+    /// It started again under its identity; its flows are gone.
+    Reborn,
+    /// Its entry can't be read.
+    Unreadable,
+    /// Its entry vanished while the store had trouble.
+    Lapsed,
+    /// It has left or died.
+    Gone,
+}
+
+/// The targets by identity, cookie and service.
+///
+/// A cookie belongs to the listed target with the lowest identity among those
+/// that share it; the others get no new flows, on every balancer alike.
+#[derive(Debug, Default)]
+pub struct Directory {
+    revision: u64,
+    loaded: bool,
+    /// Free places are `None`.
+    targets: Vec<Option<Target>>,
+    by_id: HashMap<TargetId, TargetKey>,
+    by_cookie: HashMap<Cookie, TargetKey>,
+    /// Targets that may take new flows and own their cookie.
+    by_service: HashMap<Arc<str>, Vec<TargetKey>>,
+}
+
+impl Directory {
+    /// Revision of the store up to which changes were taken in.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Whether a whole list was ever taken in.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded
+    }
+
+    /// Entries that are listed.
+    pub fn listed(&self) -> impl Iterator<Item = &TargetEntry> {
+        let targets = self.targets.iter().flatten();
+        let listed = targets.filter(|t| t.presence == Presence::Listed);
+        listed.map(|t| &t.entry)
+    }
+
+    /// Takes in a whole list as of `revision`; a list older than what is known
+    /// changes nothing. `settled` says that the store had no trouble lately.
+    pub fn replace(
+        &mut self,
+        now: Duration,
+        revision: u64,
+        list: Vec<TargetChange>,
+        settled: bool,
+    ) -> Vec<(TargetId, TargetNews)> {
+        if self.loaded && revision < self.revision {
+            return Vec::new();
+        }
+        let present: Vec<TargetId> = list.iter().map(changed_id).collect();
+        let known: Vec<TargetId> = self.by_id.keys().copied().collect();
+        let vanished = known.into_iter().filter(|id| !present.contains(id));
+        let mut changes = list;
+        changes.extend(vanished.map(TargetChange::Gone));
+        self.loaded = true;
+        self.apply(now, revision, changes, settled)
+    }
+
+    /// Takes in changes up to `revision`; older ones change nothing.
+    pub fn apply(
+        &mut self,
+        now: Duration,
+        revision: u64,
+        changes: Vec<TargetChange>,
+        settled: bool,
+    ) -> Vec<(TargetId, TargetNews)> {
+        if revision < self.revision {
+            return Vec::new();
+        }
+        self.revision = revision;
+        let mut news = Vec::new();
+        for change in changes {
+            let id = changed_id(&change);
+            let told = match change {
+                TargetChange::Present(entry) => self.present(now, entry),
+                TargetChange::Unreadable(_) => self.unreadable(id),
+                TargetChange::Gone(_) => self.vanished(now, id, settled),
+            };
+            news.extend(told.map(|told| (id, told)));
+        }
+        if !news.is_empty() {
+            self.index();
+        }
+        news
+    }
+
+    /// Ends the grace of lapsed entries and forgets targets that are gone for
+    /// longer than `keep`.
+    pub fn sweep(&mut self, now: Duration, keep: Duration) -> Vec<(TargetId, TargetNews)> {
+        let mut news = Vec::new();
+        let mut forgotten = false;
+        for slot in &mut self.targets {
+            let Some(target) = slot else { continue };
+            match target.presence {
+                Presence::Lapsed { since } if now >= since + LAPSE_GRACE => {
+                    target.presence = Presence::Gone { since: now };
+                    news.push((target.entry.id, TargetNews::Gone));
+                }
+                Presence::Gone { since } if now >= since + keep => {
+                    self.by_id.remove(&target.entry.id);
+                    *slot = None;
+                    forgotten = true;
+                }
+                _ => {}
+            }
+        }
+        if forgotten || !news.is_empty() {
+            self.index();
+        }
+        news
+    }
+
+    /// The target that a cookie names.
+    pub fn by_cookie(&self, cookie: Cookie) -> Option<TargetKey> {
+        self.by_cookie.get(&cookie).copied()
+    }
+
+    /// Targets of a service that may take new flows.
+    pub fn of_service(&self, service: &str) -> &[TargetKey] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    pub(crate) fn get(&self, key: TargetKey) -> Option<&Target> {
+        self.targets.get(key.0 as usize)?.as_ref()
+    }
+
+    pub(crate) fn get_mut(&mut self, key: TargetKey) -> Option<&mut Target> {
+        self.targets.get_mut(key.0 as usize)?.as_mut()
+    }
+
+    fn present(&mut self, now: Duration, entry: TargetEntry) -> Option<TargetNews> {
+        let cold_until = now + entry.cold_for;
+        let Some(target) = self.find(entry.id) else {
+            self.insert(Target {
+                entry,
+                presence: Presence::Listed,
+                cold_until,
+                load: Load::default(),
+                health: Health::default(),
+            });
+            return Some(TargetNews::Added);
+        };
+        let back = target.presence != Presence::Listed;
+        let reborn = started_again(&target.entry, &entry);
+        if target.entry == entry && !back {
+            return None;
+        }
+        target.entry = entry;
+        target.presence = Presence::Listed;
+        target.cold_until = cold_until;
+        if !reborn {
+            return Some(TargetNews::Changed);
+        }
+        target.health = Health::default();
+        Some(TargetNews::Reborn)
+    }
+
+    fn unreadable(&mut self, id: TargetId) -> Option<TargetNews> {
+        let target = self.find(id)?;
+        if target.presence == Presence::Unreadable {
+            return None;
+        }
+        target.presence = Presence::Unreadable;
+        Some(TargetNews::Unreadable)
+    }
+
+    fn vanished(&mut self, now: Duration, id: TargetId, settled: bool) -> Option<TargetNews> {
+        let target = self.find(id)?;
+        if matches!(
+            target.presence,
+            Presence::Lapsed { .. } | Presence::Gone { .. }
+        ) {
+            return None;
+        }
+        if settled || target.entry.lifecycle == Lifecycle::Draining {
+            target.presence = Presence::Gone { since: now };
+            return Some(TargetNews::Gone);
+        }
+        target.presence = Presence::Lapsed { since: now };
+        Some(TargetNews::Lapsed)
+    }
+
+    fn find(&mut self, id: TargetId) -> Option<&mut Target> {
+        let key = *self.by_id.get(&id)?;
+        self.get_mut(key)
+    }
+
+    fn insert(&mut self, target: Target) {
+        let id = target.entry.id;
+        let free = self.targets.iter().position(Option::is_none);
+        let place = free.unwrap_or(self.targets.len());
+        if place == self.targets.len() {
+            self.targets.push(None);
+        }
+        self.targets[place] = Some(target);
+        self.by_id.insert(id, TargetKey(place as u32));
+    }
+
+    /// Builds the indexes anew; the directory is small and changes seldom.
+    fn index(&mut self) {
+        self.by_cookie.clear();
+        self.by_service.clear();
+        let mut order: Vec<(bool, TargetId, TargetKey)> = Vec::with_capacity(self.by_id.len());
+        for (place, target) in self.targets.iter().enumerate() {
+            let Some(target) = target else { continue };
+            order.push((target.is_gone(), target.entry.id, TargetKey(place as u32)));
+        }
+        order.sort_unstable();
+        for (_, id, key) in order {
+            let owner = *self.by_cookie.entry(id.cookie()).or_insert(key);
+            let Some(target) = self.targets[key.0 as usize].as_ref() else {
+                continue;
+            };
+            if owner == key && target.takes_flows() {
+                let service = Arc::clone(&target.entry.service);
+                self.by_service.entry(service).or_default().push(key);
+            }
+        }
+    }
+}
+
+fn changed_id(change: &TargetChange) -> TargetId {
+    match change {
+        TargetChange::Present(entry) => entry.id,
+        TargetChange::Unreadable(id) | TargetChange::Gone(id) => *id,
+    }
+}
+
+fn started_again(old: &TargetEntry, new: &TargetEntry) -> bool {
+    match (old.born_ms, new.born_ms) {
+        (Some(old), Some(new)) => old != new,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/cookie/src/lib.rs
@@ -0,0 +1,36 @@
+//! Decisions of the data path whose packets carry a flow cookie.
+//!
+//! Both ends of a flow hand back 32 bits that the balancer wrote into the
+//! opening packet. The balancer writes the target's cookie there, so that every
+//! later packet names its target and any balancer can forward it without state
+//! about the flow. What is kept about flows here only serves placement and the
+//! detection of silent targets; losing it breaks nothing.
+//!
+//! Nothing here does I/O; the time is an argument everywhere.
+
+mod balancer;
+mod config;
+mod decision;
+mod directory;
+mod flows;
+mod health;
+mod load;
+mod manifest;
+mod place;
+mod routes;
+mod segment;
+mod target;
+mod unknown;
+
+pub use balancer::{Balancer, Snapshot, Suspicion};
+pub use config::Config;
+pub use decision::{Decision, DropReason, PlaceReason, ResetReason};
+pub use directory::{Directory, TargetChange, TargetKey, TargetNews};
+pub use flows::Flows;
+pub use health::{Health, HealthConfig};
+pub use load::Load;
+pub use manifest::{Manifest, Route, Share};
+pub use place::{Candidate, PlaceConfig, choose};
+pub use routes::{Routes, Taken};
+pub use segment::{Cookie, Flags, FlowId, Segment};
+pub use target::{Lifecycle, TargetEntry, TargetId};
--- /dev/null
+++ b/crates/cookie/src/place.rs
@@ -0,0 +1,85 @@
+//! Choice of the target of a new flow.
+//!
+//! Load pattern: slots are few and flows long, so that one flow too many makes
+//! requests queue. Each candidate has a cost in flows per slot; the lowest wins.
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::{Load, TargetKey};
+
+/// Cost of a target that is better not used at all, in flows per slot.
+const LAST_RESORT: f64 = 1_000.0;
+
+/// Settings of the choice.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceConfig {
+    /// Cost of leaving the own failure domain, in flows per slot.
+    pub foreign_cost: f64,
+    /// Cost of a target that has just started and is slow, in flows per slot.
+    pub cold_cost: f64,
+    /// Cost of a flow with an unanswered request, in open flows.
+    pub busy_cost: f64,
+}
+
+impl Default for PlaceConfig {
+    fn default() -> Self {
+        Self {
+            foreign_cost: 4.0,
+            cold_cost: 2.0,
+            busy_cost: 0.0,
+        }
+    }
+}
+
+/// A target that could take the flow.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// The target.
+    pub key: TargetKey,
+    /// Whether it is in the own failure domain.
+    pub local: bool,
+    /// Whether it is still slow after its start.
+    pub cold: bool,
+    /// Whether it seems silent, or did not answer this very flow.
+    pub avoid: bool,
+    /// Requests that it works on at the same time; at least 1.
+    pub slots: u32,
+    /// Load that is known here.
+    pub load: Load,
+}
+
+impl Candidate {
+    fn cost(&self, cfg: &PlaceConfig) -> f64 {
+        let flows = f64::from(self.load.flows) + f64::from(self.load.busy) * cfg.busy_cost;
+        let mut cost = (flows + 1.0) / f64::from(self.slots.max(1));
+        if !self.local {
+            cost += cfg.foreign_cost;
+        }
+        if self.cold {
+            cost += cfg.cold_cost;
+        }
+        if self.avoid {
+            cost += LAST_RESORT;
+        }
+        cost
+    }
+}
+
+/// The cheapest candidate; equal ones are chosen among at random, so that
+/// balancers which see the same load do not all take the same target.
+pub fn choose(
+    cfg: &PlaceConfig,
+    candidates: impl Iterator<Item = Candidate>,
+    rng: &mut impl Rng,
+) -> Option<TargetKey> {
+    let mut best: Option<(f64, TargetKey)> = None;
+    for c in candidates {
+        let jitter = rng.random::<f64>() / f64::from(c.slots.max(1));
+        let cost = c.cost(cfg) + jitter;
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, c.key));
+        }
+    }
+    best.map(|(_, key)| key)
+}
--- a/crates/daemon/src/bin/sequoiatraild.rs
+++ b/crates/daemon/src/bin/sequoiatraild.rs
@@ -8,9 +8,10 @@
 
 use getopts::Options;
 use sequoiatrail_daemon::Daemon;
+use sequoiatrail_daemon::cookie::CookieDaemon;
 use sequoiatrail_events::{Event, Log, LogConfig};
-use sequoiatrail_settings::{Loaded, Settings, load};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use sequoiatrail_settings::{Format, Loaded, Settings, load};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 /// Exit code after a graceful stop, `--help`, `--version` and a successful `--check`.
 const EXIT_OK: u8 = 0;
@@ -63,6 +64,12 @@
         "embedded-platform",
         "carry an in-memory platform, as platform.embedded = true does",
     );
+    opts.optopt(
+        "",
+        "settings-from",
+        "take the path of the settings from this environment variable, in place of FILE",
+        "NAME",
+    );
     opts.optflag("h", "help", "print this help");
     opts.optflag("V", "version", "print the version");
     opts
@@ -71,7 +78,8 @@
 fn help(opts: &Options) -> String {
     let brief = "Usage: sequoiatraild [options] FILE\n\n\
         Runs the balancer of one VM with the settings in FILE (TOML).\n\
-        SIGTERM and SIGINT stop it gracefully; a second one ends it at once.\n\n\
+        SIGTERM and SIGINT stop it gracefully; a second one ends it at once.\n\
+        SIGHUP makes it read FILE again if it forwards packets with cookies.\n\n\
         Exit codes: 0 stopped or checked, 1 failed, 2 wrong command line, 3 settings refused";
     opts.usage(brief)
 }
@@ -86,11 +94,15 @@
     if matches.opt_present("version") {
         return Ok(Command::Version);
     }
-    let [file] = matches.free.as_slice() else {
-        return Err("exactly one FILE is needed".into());
+    let file = match (matches.opt_str("settings-from"), matches.free.as_slice()) {
+        (None, [file]) => file.into(),
+        (Some(name), []) => std::env::var_os(&name)
+            .map(PathBuf::from)
+            .ok_or_else(|| format!("the environment variable {name} is not set"))?,
+        _ => return Err("exactly one FILE, or --settings-from, is needed".into()),
     };
     Ok(Command::Run {
-        file: file.into(),
+        file,
         check: matches.opt_present("check"),
         embedded_platform: matches.opt_present("embedded-platform"),
     })
@@ -115,7 +127,7 @@
         return EXIT_OK;
     }
     settings.platform.embedded |= embedded_platform;
-    let log = Log::to_stderr(&LogConfig {
+    let log = Log::to_stdout(&LogConfig {
         level: settings.log.level,
         format: settings.log.format,
         queue_lines: settings.log.queue_lines,
@@ -126,10 +138,17 @@
             key,
         });
     }
-    run(settings, log)
+    let Some(signalled) = watch_stop_signals() else {
+        return EXIT_FAILED;
+    };
+    match settings.data.format {
+        Format::Ip => run(settings, log, &signalled),
+        Format::Cookie => run_cookie(file, settings, log, &signalled),
+    }
 }
 
-fn run(settings: Settings, log: Log) -> u8 {
+/// Registers the stop signals; what is returned is set by the first of them.
+fn watch_stop_signals() -> Option<Arc<AtomicBool>> {
     let signalled = Arc::new(AtomicBool::new(false));
     for signal in [SIGTERM, SIGINT] {
         // A second signal ends the process at once. Registered first, so that the
@@ -142,9 +161,35 @@
         .and_then(|_| signal_hook::flag::register(signal, Arc::clone(&signalled)));
         if let Err(e) = registered {
             eprintln!("sequoiatraild: signal {signal}: {e}");
+            return None;
+        }
+    }
+    Some(signalled)
+}
+
+fn run_cookie(file: &Path, settings: Settings, log: Log, signalled: &AtomicBool) -> u8 {
+    let hung_up = Arc::new(AtomicBool::new(false));
+    if let Err(e) = signal_hook::flag::register(SIGHUP, Arc::clone(&hung_up)) {
+        eprintln!("sequoiatraild: signal {SIGHUP}: {e}");
+        return EXIT_FAILED;
+    }
+    let mut daemon = match CookieDaemon::start(file, settings, log) {
+        Ok(daemon) => daemon,
+        Err(e) => {
+            eprintln!("sequoiatraild: {e}");
             return EXIT_FAILED;
         }
+    };
+    while !signalled.load(Ordering::Acquire) && daemon.failure().is_none() {
+        std::thread::sleep(SIGNAL_POLL);
+        daemon.tick(hung_up.swap(false, Ordering::AcqRel));
     }
+    let failed = daemon.failure().is_some();
+    daemon.stop();
+    if failed { EXIT_FAILED } else { EXIT_OK }
+}
+
+fn run(settings: Settings, log: Log, signalled: &AtomicBool) -> u8 {
     let daemon = match Daemon::start(settings, log) {
         Ok(daemon) => daemon,
         Err(e) => {
--- /dev/null
+++ b/crates/daemon/src/cookie/follower.rs
@@ -0,0 +1,213 @@
+//! Following one kind of object in the store, on a thread of its own.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use sequoiatrail_adapter::{
+    Kind, ObjectEvent, check_status, decode_list, decode_watch, list_path, watch_path,
+};
+use sequoiatrail_events::Event;
+use sequoiatrail_platform::{
+    BackoffConfig, Client, Error, Follow, FollowConfig, Method, Reply, Result, Revision, Step,
+};
+
+use super::changes::{apply_manifest, log_news, target_change};
+use super::shared::Shared;
+
+/// Time without trouble after which an entry that vanishes is really gone:
+/// entries that lapse while the store is away may come back.
+const SETTLED: Duration = Duration::from_secs(6);
+/// Longest sleep of one step, so that the thread can end.
+const MAX_SLEEP: Duration = Duration::from_millis(200);
+/// Waits after failures; the store's rates allow for such waits of all balancers.
+const BACKOFF: BackoffConfig = BackoffConfig {
+    first: Duration::from_millis(300),
+    cap: Duration::from_millis(1_000),
+};
+/// Time over which balancers spread out that must list again.
+const RESYNC_SPREAD: Duration = Duration::from_millis(200);
+
+/// Follows one kind of object.
+pub(super) struct Follower {
+    shared: Arc<Shared>,
+    client: Arc<Client>,
+    kind: Kind,
+    follow: Follow,
+    /// When the store last failed to answer.
+    last_trouble: Option<Duration>,
+    /// When the present trouble began.
+    lost_since: Option<Duration>,
+    pauses: u64,
+}
+
+impl Follower {
+    pub fn new(shared: Arc<Shared>, client: Arc<Client>, kind: Kind, watch_wait: Duration) -> Self {
+        let cfg = FollowConfig {
+            watch_wait,
+            settle: Duration::ZERO,
+            resync_spread: RESYNC_SPREAD,
+            backoff: BACKOFF,
+            ..FollowConfig::default()
+        };
+        Follower {
+            pauses: shared.pauses(),
+            shared,
+            client,
+            kind,
+            follow: Follow::new(cfg, rand::random()),
+            last_trouble: None,
+            lost_since: None,
+        }
+    }
+
+    /// Follows until the process ends.
+    pub fn run(mut self) {
+        while !self.shared.has_ended() {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let pauses = self.shared.pauses();
+        if std::mem::replace(&mut self.pauses, pauses) != pauses {
+            self.follow.restart();
+        }
+        let step = self.follow.next(self.shared.clock.now());
+        let done = match step {
+            Step::Wait(wait) => {
+                thread::sleep(wait.min(MAX_SLEEP));
+                return;
+            }
+            Step::List => self.list(),
+            Step::Watch(after) => self.watch(after),
+        };
+        match done {
+            Ok(revision) => self.answered(revision),
+            Err(e) => self.failed(&e),
+        }
+    }
+
+    fn list(&mut self) -> Result<Revision> {
+        let mut objects = Vec::new();
+        let mut unreadable = 0;
+        let mut after = None;
+        let mut first_revision = None;
+        loop {
+            let path = list_path(self.kind, after.as_deref());
+            let page = decode_list(&self.get(&path, Duration::ZERO)?)?;
+            // Later pages may show later changes; a watch from the first page's
+            // revision tells them again.
+            let revision = *first_revision.get_or_insert(page.revision);
+            unreadable += page.unreadable;
+            objects.extend(page.objects);
+            after = page.next_after;
+            if after.is_none() {
+                self.log_unreadable(unreadable);
+                self.take_list(objects, revision);
+                self.follow.listed(self.shared.clock.now(), revision);
+                return Ok(revision);
+            }
+        }
+    }
+
+    fn watch(&mut self, after: Revision) -> Result<Revision> {
+        let wait = self.follow.config().watch_wait;
+        let reply = self.get(&watch_path(self.kind, after, wait, true), wait)?;
+        let page = decode_watch(&reply)?;
+        self.log_unreadable(page.unreadable);
+        // A stale answer may show an older revision than was asked for.
+        let revision = page.revision.max(after);
+        let changes = page.events.len();
+        self.take_events(page.events, revision);
+        self.follow
+            .watched(self.shared.clock.now(), revision, changes);
+        Ok(revision)
+    }
+
+    fn get(&self, path: &str, wait: Duration) -> Result<Reply> {
+        let timeout = wait + self.client.config().call_timeout;
+        let reply = self.client.exchange(Method::GET, path, &[], timeout)?;
+        check_status(&reply)?;
+        Ok(reply)
+    }
+
+    fn take_list(&self, objects: Vec<sequoiatrail_adapter::Object>, revision: Revision) {
+        let shared = &self.shared;
+        if self.kind == Kind::Manifest {
+            objects
+                .iter()
+                .for_each(|o| apply_manifest(shared, o, "list"));
+            return;
+        }
+        let changes = objects
+            .iter()
+            .filter_map(|o| target_change(shared, o, false));
+        let changes = changes.collect();
+        let now = shared.clock.now();
+        let settled = self.is_settled(now);
+        let news = shared
+            .lock()
+            .replace_targets(now, revision.0, changes, settled);
+        log_news(shared, &news, revision.0, "list");
+    }
+
+    fn take_events(&self, events: Vec<ObjectEvent>, revision: Revision) {
+        let shared = &self.shared;
+        if self.kind == Kind::Manifest {
+            let present = events.iter().filter(|e| !e.deleted);
+            present.for_each(|e| apply_manifest(shared, &e.object, "watch"));
+            return;
+        }
+        let changes = events
+            .iter()
+            .filter_map(|e| target_change(shared, &e.object, e.deleted));
+        let changes = changes.collect();
+        let now = shared.clock.now();
+        let settled = self.is_settled(now);
+        let news = shared
+            .lock()
+            .change_targets(now, revision.0, changes, settled);
+        log_news(shared, &news, revision.0, "watch");
+    }
+
+    fn is_settled(&self, now: Duration) -> bool {
+        self.last_trouble.is_none_or(|at| now >= at + SETTLED)
+    }
+
+    fn answered(&mut self, revision: Revision) {
+        if self.kind == Kind::Targets {
+            self.shared.confirm_targets();
+        }
+        if let Some(since) = self.lost_since.take() {
+            let now = self.shared.clock.now();
+            self.shared.log.emit(Event::StoreBack {
+                kind: self.kind.name(),
+                after_ms: now.saturating_sub(since).as_millis() as u64,
+                revision: revision.0,
+            });
+        }
+    }
+
+    fn failed(&mut self, error: &Error) {
+        let now = self.shared.clock.now();
+        self.last_trouble = Some(now);
+        self.follow.failed(now, error);
+        if self.lost_since.is_none() {
+            self.lost_since = Some(now);
+            self.shared.log.emit(Event::StoreLost {
+                kind: self.kind.name(),
+                error: error.to_string(),
+            });
+        }
+    }
+
+    fn log_unreadable(&self, objects: usize) {
+        if objects > 0 {
+            self.shared.log.emit(Event::EntryUnreadable {
+                object: format!("{objects} of {}", self.kind.name()),
+                error: "no object with a name".into(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cookie/http.rs
@@ -0,0 +1,61 @@
+//! Readiness and metrics over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rocket::http::Status;
+use rocket::{Build, Rocket, State, get, routes};
+use sequoiatrail_platform::{HttpServer, http_config};
+
+use super::metrics::Metrics;
+use super::shared::Shared;
+use crate::Result;
+use crate::error::PartSnafu;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+/// Threads that answer; routers and a collector ask a few times a second.
+const WORKERS: usize = 1;
+
+/// Starts the server.
+pub(super) fn start(
+    shared: &Arc<Shared>,
+    listen: SocketAddr,
+    readiness_path: &str,
+) -> Result<HttpServer> {
+    let metrics = Metrics::new(shared)?;
+    let server = rocket(Arc::clone(shared), metrics, listen, readiness_path);
+    HttpServer::start(server, listen).or_else(|e| {
+        PartSnafu {
+            part: "cookie.http_listen",
+            reason: e.to_string(),
+        }
+        .fail()
+    })
+}
+
+fn rocket(
+    shared: Arc<Shared>,
+    metrics: Metrics,
+    listen: SocketAddr,
+    readiness_path: &str,
+) -> Rocket<Build> {
+    rocket::custom(http_config(listen, WORKERS))
+        .manage(shared)
+        .manage(metrics)
+        .mount(readiness_path, routes![readiness])
+        .mount(METRICS_PATH, routes![metrics_text])
+}
+
+#[get("/")]
+fn readiness(shared: &State<Arc<Shared>>) -> Status {
+    match shared.is_ready() {
+        true => Status::Ok,
+        false => Status::ServiceUnavailable,
+    }
+}
+
+#[get("/")]
+fn metrics_text(metrics: &State<Metrics>) -> String {
+    metrics.text()
+}
--- /dev/null
+++ b/crates/daemon/src/cookie/metrics.rs
@@ -0,0 +1,79 @@
+//! Metrics of a balancer whose packets carry a flow cookie.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use opentelemetry::metrics::{Histogram, Meter};
+
+use super::shared::Shared;
+use crate::Result;
+use crate::metrics::{Exposition, add_counters};
+
+/// Upper bounds of the histogram of handling times, in seconds.
+const HANDLING_BOUNDS_S: [f64; 7] = [1e-5, 3e-5, 1e-4, 3e-4, 1e-3, 1e-2, 1e-1];
+
+/// The metrics of one balancer.
+pub(super) struct Metrics {
+    exposition: Exposition,
+}
+
+impl Metrics {
+    pub fn new(shared: &Arc<Shared>) -> Result<Metrics> {
+        let exposition = Exposition::new()?;
+        let meter = exposition.meter();
+        add_counters(&meter, &shared.counters, &shared.log);
+        add_gauges(&meter, shared);
+        let handling = meter
+            .f64_histogram("packet_handling_seconds")
+            .with_description("Time from the arrival of a packet to its decision")
+            .with_boundaries(HANDLING_BOUNDS_S.to_vec())
+            .build();
+        // A second start of the metrics in one process keeps the first histogram.
+        let _ = shared.handling.set(handling);
+        Ok(Metrics { exposition })
+    }
+
+    pub fn text(&self) -> String {
+        self.exposition.text()
+    }
+}
+
+/// Records how long a packet was handled.
+pub(super) fn record_handling(histogram: Option<&Histogram<f64>>, time: Duration) {
+    if let Some(histogram) = histogram {
+        histogram.record(time.as_secs_f64(), &[]);
+    }
+}
+
+fn add_gauges(meter: &Meter, shared: &Arc<Shared>) {
+    let gauge = |name: &'static str, about: &'static str, value: fn(&Shared) -> u64| {
+        let shared = Arc::clone(shared);
+        meter
+            .u64_observable_gauge(name)
+            .with_description(about)
+            .with_callback(move |observer| observer.observe(value(&shared), &[]))
+            .build();
+    };
+    gauge("flows", "Flows observed here", |s| {
+        s.lock().flows().len() as u64
+    });
+    gauge(
+        "manifest_version",
+        "Version of the manifest in force",
+        |s| s.lock().routes().version(),
+    );
+    gauge("targets_listed", "Targets that are listed", |s| {
+        s.lock().directory().listed().count() as u64
+    });
+    gauge("targets_revision", "Revision of the list of targets", |s| {
+        s.lock().directory().revision()
+    });
+    gauge(
+        "targets_age_milliseconds",
+        "Time since the store confirmed the targets",
+        |s| s.targets_age(s.clock.now()).as_millis() as u64,
+    );
+    gauge("ready", "1 if packets are asked for, 0 if not", |s| {
+        u64::from(s.is_ready())
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/cookie/packets.rs
@@ -0,0 +1,218 @@
+//! The thread that receives packets and acts on the decisions.
+
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use sequoiatrail_adapter::{
+    HEAD_BYTES, PREFIX_BYTES, decode_packet, encode_reset, prefix, write_cookie,
+};
+use sequoiatrail_cookie::{Decision, DropReason, PlaceReason, ResetReason, Segment, TargetId};
+use sequoiatrail_events::Event;
+
+use super::changes::log_news;
+use super::metrics::record_handling;
+use super::shared::Shared;
+use crate::counters::{Count, Counters};
+
+/// Largest datagram that is read; packets are much smaller.
+const MAX_DATAGRAM_BYTES: usize = 4_096;
+/// Time between two sweeps of what is remembered.
+const SWEEP_EVERY: Duration = Duration::from_millis(500);
+
+/// Receives and forwards packets.
+pub(super) struct Packets {
+    shared: Arc<Shared>,
+    socket: UdpSocket,
+    /// Port of callers that resets are sent to.
+    caller_port: u16,
+    counters: Arc<Counters>,
+    swept: Duration,
+}
+
+impl Packets {
+    pub fn new(shared: Arc<Shared>, socket: UdpSocket, caller_port: u16) -> Packets {
+        Packets {
+            counters: shared.counters.for_thread(),
+            swept: shared.clock.now(),
+            shared,
+            socket,
+            caller_port,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub fn run(mut self) -> io::Result<()> {
+        let mut buf = [0; PREFIX_BYTES + MAX_DATAGRAM_BYTES];
+        while !self.shared.has_ended() {
+            match self.socket.recv_from(&mut buf[PREFIX_BYTES..]) {
+                Ok((length, from)) => self.handle(&mut buf[..PREFIX_BYTES + length], from),
+                Err(e) if is_transient(&e) => {}
+                Err(e) => return Err(e),
+            }
+            self.sweep();
+        }
+        Ok(())
+    }
+
+    /// Handles a packet, in front of which there is room for the prefix.
+    fn handle(&self, buf: &mut [u8], from: SocketAddr) {
+        let now = self.shared.clock.now();
+        self.counters.add(Count::Received, 1);
+        self.counters
+            .add(Count::ReceivedBytes, (buf.len() - PREFIX_BYTES) as u64);
+        let seg = match decode_packet(&buf[PREFIX_BYTES..]) {
+            Ok(seg) => seg,
+            Err(e) => return self.unreadable(now, from, &e),
+        };
+        let (decision, suspected) = self.decide(now, &seg);
+        match decision {
+            Decision::Forward {
+                target,
+                to,
+                cookie,
+                reason,
+            } => {
+                if let Some(cookie) = cookie {
+                    write_cookie(&mut buf[PREFIX_BYTES..], cookie);
+                }
+                buf[..PREFIX_BYTES].copy_from_slice(&prefix(target));
+                self.send(now, buf, to);
+                self.note_forwarded(now, &seg, target, reason);
+            }
+            Decision::Reset(reason) => self.reset(now, &seg, reason),
+            Decision::Drop(reason) => self.dropped(reason),
+        }
+        self.log_suspected(&suspected);
+        let took = self.shared.clock.now().saturating_sub(now);
+        record_handling(self.shared.handling.get(), took);
+    }
+
+    fn decide(
+        &self,
+        now: Duration,
+        seg: &Segment,
+    ) -> (Decision, Vec<sequoiatrail_cookie::Suspicion>) {
+        let mut balancer = self.shared.lock();
+        let decision = balancer.decide(now, seg);
+        (decision, balancer.take_suspicions())
+    }
+
+    fn send(&self, now: Duration, bytes: &[u8], to: SocketAddrV4) {
+        let Err(e) = self.socket.send_to(bytes, to) else {
+            return;
+        };
+        self.counters.add(Count::SendFailed, 1);
+        if let Some(skipped) = self.shared.lines.failed_sends.admit(now) {
+            self.shared.log.emit(Event::SendFailed {
+                to: to.into(),
+                error: e.to_string(),
+                skipped,
+            });
+        }
+    }
+
+    fn note_forwarded(&self, now: Duration, seg: &Segment, target: TargetId, reason: PlaceReason) {
+        let known = matches!(reason, PlaceReason::Cookie | PlaceReason::Remembered);
+        let count = match known {
+            true => Count::ForwardedKnown,
+            false => Count::ForwardedPlaced,
+        };
+        self.counters.add(count, 1);
+        if !known {
+            self.log_decision(now, seg, "forward", reason.into(), target.to_string());
+        }
+    }
+
+    fn reset(&self, now: Duration, seg: &Segment, reason: ResetReason) {
+        let count = match seg.flags.syn {
+            true => Count::Refused,
+            false => Count::Reset,
+        };
+        self.counters.add(count, 1);
+        let to = SocketAddrV4::new(*seg.flow.caller.ip(), self.caller_port);
+        let reset: [u8; HEAD_BYTES] = encode_reset(seg);
+        self.send(now, &reset, to);
+        self.log_decision(now, seg, "reset", reason.into(), String::new());
+    }
+
+    fn dropped(&self, reason: DropReason) {
+        let count = match reason {
+            DropReason::UnknownCookie => Count::DroppedUnknownTarget,
+            _ => Count::DroppedOther,
+        };
+        self.counters.add(count, 1);
+    }
+
+    fn unreadable(&self, now: Duration, from: SocketAddr, error: &sequoiatrail_adapter::Error) {
+        self.counters.add(Count::DroppedBroken, 1);
+        if let Some(skipped) = self.shared.lines.unreadable.admit(now) {
+            self.shared.log.emit(Event::PacketUnreadable {
+                from,
+                error: error.to_string(),
+                skipped,
+            });
+        }
+    }
+
+    fn log_decision(
+        &self,
+        now: Duration,
+        seg: &Segment,
+        outcome: &'static str,
+        reason: &'static str,
+        target: String,
+    ) {
+        let Some(skipped) = self.shared.lines.decisions.admit(now) else {
+            return;
+        };
+        let (manifest, revision) = {
+            let balancer = self.shared.lock();
+            (balancer.routes().version(), balancer.directory().revision())
+        };
+        self.shared.log.emit(Event::FlowDecided {
+            flow: seg.flow.to_string(),
+            outcome,
+            reason,
+            target,
+            manifest,
+            revision,
+            age_ms: self.shared.targets_age(now).as_millis() as u64,
+            skipped,
+        });
+    }
+
+    fn log_suspected(&self, suspected: &[sequoiatrail_cookie::Suspicion]) {
+        for s in suspected {
+            self.shared.log.emit(Event::TargetSuspected {
+                target: s.target.to_string(),
+                suspicions: s.suspicions,
+                flows: s.flows,
+            });
+        }
+    }
+
+    fn sweep(&mut self) {
+        let now = self.shared.clock.now();
+        if now < self.swept + SWEEP_EVERY {
+            return;
+        }
+        self.swept = now;
+        let (news, revision) = {
+            let mut balancer = self.shared.lock();
+            (balancer.sweep(now), balancer.directory().revision())
+        };
+        log_news(&self.shared, &news, revision, "sweep");
+    }
+}
+
+fn is_transient(e: &io::Error) -> bool {
+    matches!(
+        e.kind(),
+        ErrorKind::WouldBlock
+            | ErrorKind::TimedOut
+            | ErrorKind::Interrupted
+            | ErrorKind::ConnectionRefused
+    )
+}
--- /dev/null
+++ b/crates/daemon/src/cookie/shared.rs
@@ -0,0 +1,154 @@
+//! What all threads of a balancer share.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, SystemTime};
+
+use opentelemetry::metrics::Histogram;
+use sequoiatrail_cookie::Balancer;
+use sequoiatrail_events::{Event, Log, RateLimit};
+use sequoiatrail_types::Clock;
+
+use crate::counters::CounterSet;
+
+/// Lines a second about decisions on flows.
+const DECISION_LINES_PER_SECOND: u32 = 20;
+/// Lines a second for each kind of event that a hostile sender can cause.
+const HOSTILE_LINES_PER_SECOND: u32 = 5;
+/// Time between two looks from which the process counts as having stood still.
+const PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Limits of log lines.
+pub(super) struct Lines {
+    pub decisions: RateLimit,
+    pub unreadable: RateLimit,
+    pub failed_sends: RateLimit,
+}
+
+impl Default for Lines {
+    fn default() -> Self {
+        Self {
+            decisions: RateLimit::new(DECISION_LINES_PER_SECOND),
+            unreadable: RateLimit::new(HOSTILE_LINES_PER_SECOND),
+            failed_sends: RateLimit::new(HOSTILE_LINES_PER_SECOND),
+        }
+    }
+}
+
+/// State of one process.
+pub(super) struct Shared {
+    pub balancer: Mutex<Balancer>,
+    pub clock: Arc<dyn Clock>,
+    pub log: Log,
+    pub counters: Arc<CounterSet>,
+    pub lines: Lines,
+    /// Times of handling packets; set once the metrics are served.
+    pub handling: OnceLock<Histogram<f64>>,
+    /// Set by the first stop signal.
+    stopping: AtomicBool,
+    /// Set when all threads have to end.
+    pub ended: AtomicBool,
+    /// When the targets were last confirmed by the store, in milliseconds of `clock`.
+    targets_confirmed_ms: AtomicU64,
+    /// Raised when the process stood still; followers then begin anew.
+    pauses: AtomicU64,
+    last_look: Mutex<Option<Look>>,
+    told_ready: AtomicBool,
+}
+
+/// Clocks at a look.
+#[derive(Clone, Copy)]
+struct Look {
+    steady: Duration,
+    wall: SystemTime,
+}
+
+impl Shared {
+    pub fn new(balancer: Balancer, clock: Arc<dyn Clock>, log: Log) -> Shared {
+        Shared {
+            balancer: Mutex::new(balancer),
+            clock,
+            log,
+            counters: Arc::default(),
+            lines: Lines::default(),
+            handling: OnceLock::new(),
+            stopping: AtomicBool::new(false),
+            ended: AtomicBool::new(false),
+            targets_confirmed_ms: AtomicU64::new(0),
+            pauses: AtomicU64::new(0),
+            last_look: Mutex::new(None),
+            told_ready: AtomicBool::new(false),
+        }
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, Balancer> {
+        self.balancer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the routers should send packets here.
+    pub fn is_ready(&self) -> bool {
+        let stopping = self.stopping.load(Ordering::Acquire);
+        let ready = !stopping && self.lock().is_ready();
+        if self.told_ready.swap(ready, Ordering::AcqRel) != ready {
+            let reason = match (ready, stopping) {
+                (true, _) => "manifest and targets are known",
+                (false, true) => "stopping",
+                (false, false) => "manifest or targets are not known",
+            };
+            self.log.emit(Event::ReadinessChanged { ready, reason });
+        }
+        ready
+    }
+
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    pub fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::Acquire)
+    }
+
+    /// Takes in that the store confirmed the targets.
+    pub fn confirm_targets(&self) {
+        let now = self.clock.now().as_millis() as u64;
+        self.targets_confirmed_ms.store(now, Ordering::Relaxed);
+    }
+
+    /// Time since the store last confirmed the targets.
+    pub fn targets_age(&self, now: Duration) -> Duration {
+        let confirmed = self.targets_confirmed_ms.load(Ordering::Relaxed);
+        now.saturating_sub(Duration::from_millis(confirmed))
+    }
+
+    /// How often the process stood still.
+    pub fn pauses(&self) -> u64 {
+        self.pauses.load(Ordering::Acquire)
+    }
+
+    /// Notices that the process did not run for a while: the steady clock jumped
+    /// between two looks, or stood still while the time of day went on. A time of
+    /// day that was set forward looks the same; it only costs a new list.
+    pub fn look_for_pause(&self) {
+        let look = Look {
+            steady: self.clock.now(),
+            wall: SystemTime::now(),
+        };
+        let mut last = self
+            .last_look
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let Some(before) = last.replace(look) else {
+            return;
+        };
+        let steady = look.steady.saturating_sub(before.steady);
+        let wall = look.wall.duration_since(before.wall).unwrap_or_default();
+        let passed = steady.max(wall);
+        if passed < PAUSE {
+            return;
+        }
+        self.pauses.fetch_add(1, Ordering::AcqRel);
+        self.log.emit(Event::Paused {
+            paused_ms: passed.as_millis() as u64,
+        });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cookie/start.rs
@@ -0,0 +1,145 @@
+//! Starting the parts of a balancer whose packets carry a flow cookie.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
+use std::sync::{Arc, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use sequoiatrail_adapter::Kind;
+use sequoiatrail_cookie::{Balancer, Config};
+use sequoiatrail_events::{Event, Log};
+use sequoiatrail_platform::{Client, ClientConfig};
+use sequoiatrail_settings::Settings;
+use sequoiatrail_types::{Clock, SystemClock};
+use snafu::ResultExt;
+
+use super::CookieDaemon;
+use super::follower::Follower;
+use super::http;
+use super::packets::Packets;
+use super::reload::Reloader;
+use super::shared::Shared;
+use crate::Result;
+use crate::error::{PartSnafu, ThreadSnafu};
+use crate::receive;
+
+/// Longest time of a call to the store, without the wait of a watch.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest time to make a connection to the store.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Receive buffer of the socket, in bytes: some hundred packets of the largest size.
+const RECEIVE_BUFFER_BYTES: usize = 1 << 20;
+
+/// Starts all parts.
+pub(super) fn start(file: PathBuf, settings: Settings, log: Log) -> Result<CookieDaemon> {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let log = log.for_vm(&settings.node.name);
+    let socket = open_socket(&settings)?;
+    let listen = socket.local_addr().unwrap_or(settings.data.listen);
+    let balancer = Balancer::new(config(&settings), rand::random());
+    let shared = Arc::new(Shared::new(balancer, Arc::clone(&clock), log));
+    let cookie = &settings.cookie;
+    let server = http::start(&shared, cookie.http_listen, &cookie.readiness_path)?;
+    let mut daemon = CookieDaemon {
+        shared: Arc::clone(&shared),
+        threads: Vec::new(),
+        failure: Arc::default(),
+        http: Some(server),
+        stop_grace: Duration::from_secs_f64(cookie.stop_grace_s),
+        reloader: Reloader::new(file, settings.clone()),
+    };
+    let caller_port = match cookie.caller_port {
+        0 => listen.port(),
+        port => port,
+    };
+    let packets = Packets::new(Arc::clone(&shared), socket, caller_port);
+    daemon.spawn("packets", move || packets.run())?;
+    daemon.follow_store(&settings, &clock)?;
+    shared.log.emit(Event::Started {
+        version: env!("CARGO_PKG_VERSION"),
+        node: rand::random(),
+        listen,
+        threads: 1,
+    });
+    Ok(daemon)
+}
+
+impl CookieDaemon {
+    fn follow_store(&mut self, settings: &Settings, clock: &Arc<dyn Clock>) -> Result<()> {
+        let Some(endpoint) = settings.platform.endpoint else {
+            return PartSnafu {
+                part: "platform.endpoint",
+                reason: "needed with data.format = \"cookie\"",
+            }
+            .fail();
+        };
+        let watch_wait = Duration::from_millis(settings.cookie.watch_wait_ms);
+        let client = Arc::new(Client::new(client_config(endpoint, clock)));
+        for kind in [Kind::Manifest, Kind::Targets] {
+            let client = Arc::clone(&client);
+            let follower = Follower::new(Arc::clone(&self.shared), client, kind, watch_wait);
+            self.spawn(kind.name(), move || {
+                follower.run();
+                Ok(())
+            })?;
+        }
+        Ok(())
+    }
+
+    fn spawn<F>(&mut self, name: &'static str, work: F) -> Result<()>
+    where
+        F: FnOnce() -> std::io::Result<()> + Send + 'static,
+    {
+        let failure = Arc::clone(&self.failure);
+        let log = self.shared.log.clone();
+        let builder = thread::Builder::new().name(name.to_owned());
+        let thread = builder
+            .spawn(move || {
+                let Err(e) = work() else { return };
+                log.emit(Event::ThreadFailed {
+                    thread: name.to_owned(),
+                    error: e.to_string(),
+                });
+                let mut failure = failure.lock().unwrap_or_else(PoisonError::into_inner);
+                failure.get_or_insert(format!("{name}: {e}"));
+            })
+            .context(ThreadSnafu { name })?;
+        self.threads.push(thread);
+        Ok(())
+    }
+}
+
+fn open_socket(settings: &Settings) -> Result<UdpSocket> {
+    let buffer = settings.data.receive_buffer_bytes.min(RECEIVE_BUFFER_BYTES);
+    let sockets = receive::open(settings.data.listen, 1, buffer)?;
+    sockets.into_iter().next().map_or_else(
+        || {
+            PartSnafu {
+                part: "data.listen",
+                reason: "no socket",
+            }
+            .fail()
+        },
+        Ok,
+    )
+}
+
+fn client_config(endpoint: SocketAddr, clock: &Arc<dyn Clock>) -> ClientConfig {
+    ClientConfig {
+        endpoint,
+        connect_timeout: CONNECT_TIMEOUT,
+        call_timeout: CALL_TIMEOUT,
+        clock: Arc::clone(clock),
+        ..ClientConfig::default()
+    }
+}
+
+fn config(settings: &Settings) -> Config {
+    Config {
+        domain: Arc::from(settings.cookie.failure_domain.as_str()),
+        flow_max_age: Duration::from_secs_f64(settings.cookie.flow_max_age_s),
+        max_flows: settings.data.max_flows,
+        ..Config::default()
+    }
+}
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -40,6 +40,8 @@
     DroppedUnknownService,
     /// Packets dropped for another reason.
     DroppedOther,
+    /// Packets dropped because their cookie names no target that is known here.
+    DroppedUnknownTarget,
     /// Datagrams that could not be sent.
     SendFailed,
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod batch;
 mod board;
 mod control;
+pub mod cookie;
 mod counters;
 mod daemon;
 mod error;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -25,16 +25,16 @@
     pub log: Log,
 }
 
-/// The metrics of one balancer, read when they are asked for.
-pub(crate) struct Metrics {
+/// Instruments and their text exposition.
+pub(crate) struct Exposition {
     registry: Registry,
     /// Held so that the instruments stay registered.
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
 }
 
-impl Metrics {
-    /// Registers the instruments.
-    pub fn new(sources: &Sources) -> Result<Metrics> {
+impl Exposition {
+    /// An exposition without instruments.
+    pub fn new() -> Result<Exposition> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -51,15 +51,12 @@
             }
         };
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("sequoiatrail");
-        add_counters(&meter, sources);
-        add_flow_gauges(&meter, sources);
-        add_version_gauges(&meter, sources);
-        add_state_gauges(&meter, sources);
-        Ok(Metrics {
-            registry,
-            _provider: provider,
-        })
+        Ok(Exposition { registry, provider })
+    }
+
+    /// What makes instruments.
+    pub fn meter(&self) -> Meter {
+        self.provider.meter("sequoiatrail")
     }
 
     /// The text exposition.
@@ -71,17 +68,41 @@
     }
 }
 
-fn add_counters(meter: &Meter, sources: &Sources) {
+/// The metrics of one balancer, read when they are asked for.
+pub(crate) struct Metrics {
+    exposition: Exposition,
+}
+
+impl Metrics {
+    /// Registers the instruments.
+    pub fn new(sources: &Sources) -> Result<Metrics> {
+        let exposition = Exposition::new()?;
+        let meter = exposition.meter();
+        add_counters(&meter, &sources.counters, &sources.log);
+        add_flow_gauges(&meter, sources);
+        add_version_gauges(&meter, sources);
+        add_state_gauges(&meter, sources);
+        Ok(Metrics { exposition })
+    }
+
+    /// The text exposition.
+    pub fn text(&self) -> String {
+        self.exposition.text()
+    }
+}
+
+/// Registers the counts of the data path and of the log.
+pub(crate) fn add_counters(meter: &Meter, counters: &Arc<CounterSet>, log: &Log) {
     for count in Count::iter() {
         let name: &'static str = count.into();
-        let counters = Arc::clone(&sources.counters);
+        let counters = Arc::clone(counters);
         meter
             .u64_observable_counter(name)
             .with_description("Count of the data path, see docs/OPERATING.md")
             .with_callback(move |observer| observer.observe(counters.sum(count), &[]))
             .build();
     }
-    let log = sources.log.clone();
+    let log = log.clone();
     meter
         .u64_observable_counter("log_lines_dropped")
         .with_description("Log lines dropped because the writer was too slow")
--- a/crates/daemon/tests/program.rs
+++ b/crates/daemon/tests/program.rs
@@ -33,11 +33,11 @@
     let mut child = Command::new(PROGRAM)
         .arg("--embedded-platform")
         .arg(settings)
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
         .spawn()
         .unwrap();
-    let stderr = child.stderr.take().unwrap();
-    let mut lines = BufReader::new(stderr).lines().map_while(Result::ok);
+    let stdout = child.stdout.take().unwrap();
+    let mut lines = BufReader::new(stdout).lines().map_while(Result::ok);
     assert!(lines.any(|line| line.contains("event: 101")));
     // Read on, so that the balancer never waits for this test.
     std::thread::spawn(move || lines.for_each(drop));
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -312,6 +312,114 @@
     }
     /// A drain of this balancer was asked for over the administration API.
     602 Info DrainRequested {}
+    /// A decision on the first packet of a flow, or the reset of a flow.
+    701 Info FlowDecided {
+        /// The flow: the caller's address and the route's.
+        flow: String,
+        /// `forward` or `reset`.
+        outcome: &'static str,
+        /// Why.
+        reason: &'static str,
+        /// The target in hexadecimal; empty if none.
+        target: String,
+        /// Version of the manifest that decided it.
+        manifest: u64,
+        /// Revision of the list of targets that decided it.
+        revision: u64,
+        /// Time since the list was last confirmed, in milliseconds.
+        age_ms: u64,
+        /// Such events held back since the last line of this number.
+        skipped: u64,
+    }
+    /// A manifest came into force here.
+    702 Info ManifestInForce {
+        /// Its version.
+        version: u64,
+        /// Version that it replaced; 0 for none.
+        replaced: u64,
+        /// Number of routes.
+        routes: usize,
+        /// Routes that can't be read and were left out.
+        left_out: usize,
+        /// Where it came from.
+        source: &'static str,
+    }
+    /// What is believed of a target changed.
+    703 Info TargetChanged {
+        /// The target in hexadecimal.
+        target: String,
+        /// What changed.
+        news: &'static str,
+        /// Revision of the list of targets.
+        revision: u64,
+        /// Where it came from.
+        source: &'static str,
+    }
+    /// A target does not answer; new flows go elsewhere for a while.
+    704 Warning TargetSuspected {
+        /// The target in hexadecimal.
+        target: String,
+        /// Suspicions in a row.
+        suspicions: u32,
+        /// Flows here that go to it.
+        flows: u32,
+    }
+    /// A call to the store failed; what is in force stays in force.
+    705 Warning StoreLost {
+        /// Kind of objects that was asked for.
+        kind: &'static str,
+        /// The error.
+        error: String,
+    }
+    /// The store answers again.
+    706 Info StoreBack {
+        /// Kind of objects that was asked for.
+        kind: &'static str,
+        /// How long it did not, in milliseconds.
+        after_ms: u64,
+        /// Revision that it shows.
+        revision: u64,
+    }
+    /// Objects of the store that can't be read; they are passed over.
+    707 Warning EntryUnreadable {
+        /// The object, or how many of them.
+        object: String,
+        /// What is wrong with it.
+        error: String,
+    }
+    /// The settings file was read again.
+    708 Info SettingsReloaded {
+        /// Sections that changed and are in force.
+        applied: String,
+        /// Sections that changed and need a restart.
+        pending: String,
+    }
+    /// The settings file could not be read again; the settings in force stay.
+    709 Warning ReloadFailed {
+        /// Why.
+        error: String,
+    }
+    /// The process did not run for a while; what it believed may be old.
+    710 Warning Paused {
+        /// For how long, in milliseconds.
+        paused_ms: u64,
+    }
+    /// A datagram is no packet and was dropped.
+    711 Warning PacketUnreadable {
+        /// Who sent it.
+        from: SocketAddr,
+        /// What is wrong with it.
+        error: String,
+        /// Such events held back since the last line of this number.
+        skipped: u64,
+    }
+    /// This balancer asks the routers for packets, or to send none.
+    712 Info ReadinessChanged {
+        /// Whether it takes packets.
+        ready: bool,
+        /// Why.
+        reason: &'static str,
+    }
 }
 
 impl Event {
--- a/crates/events/src/log.rs
+++ b/crates/events/src/log.rs
@@ -35,6 +35,11 @@
         Log::to(cfg, Box::new(std::io::stderr()))
     }
 
+    /// A log to standard output.
+    pub fn to_stdout(cfg: &LogConfig) -> Log {
+        Log::to(cfg, Box::new(std::io::stdout()))
+    }
+
     /// A log to `out`.
     pub fn to(cfg: &LogConfig, out: Output) -> Log {
         let queue = cfg.queue_lines;
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -5,10 +5,10 @@
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use ureq::http::Response;
+use ureq::http::{Method, Request, Response};
 use ureq::{Agent, Body, RequestBuilder};
 
-use crate::parse::{RawAnswer, parse};
+use crate::parse::{RawAnswer, Reply, parse};
 use crate::{
     Changes, ClientConfig, Error, Expect, Listing, MAX_VALUE_BYTES, Object, Result, Revision,
     TokenBucket, Vm, Written,
@@ -103,6 +103,32 @@
         receive(self.prepared(req, self.cfg.call_timeout).call())
     }
 
+    /// Makes one call with a path of the caller's and returns the answer as it
+    /// came, whatever its status. `timeout` is for the whole call.
+    pub fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: &[u8],
+        timeout: Duration,
+    ) -> Result<Reply> {
+        self.pace()?;
+        let req = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.cfg.endpoint))
+            .header("Content-Type", "application/json")
+            .body(body)
+            .map_err(|e| Error::Unwritable {
+                reason: e.to_string(),
+            })?;
+        let req = self
+            .agent
+            .configure_request(req)
+            .timeout_global(Some(timeout))
+            .build();
+        read_reply(self.agent.run(req))
+    }
+
     /// Adds the time limit and the token.
     fn prepared<B>(&self, req: RequestBuilder<B>, timeout: Duration) -> RequestBuilder<B> {
         let req = req.config().timeout_global(Some(timeout)).build();
@@ -149,6 +175,15 @@
 }
 
 fn receive<T: DeserializeOwned>(answer: Result<Response<Body>, ureq::Error>) -> Result<T> {
+    let reply = read_reply(answer)?;
+    parse(RawAnswer {
+        status: reply.status,
+        retry_after: reply.retry_after.as_deref(),
+        body: &reply.body,
+    })
+}
+
+fn read_reply(answer: Result<Response<Body>, ureq::Error>) -> Result<Reply> {
     let mut answer = answer.map_err(transport_error)?;
     let status = answer.status().as_u16();
     let body = answer
@@ -160,10 +195,11 @@
             reason: e.to_string(),
         })?;
     let retry_after = answer.headers().get("Retry-After");
-    parse(RawAnswer {
+    let retry_after = retry_after.and_then(|v| v.to_str().ok());
+    Ok(Reply {
         status,
-        retry_after: retry_after.and_then(|v| v.to_str().ok()),
-        body: &body,
+        retry_after: retry_after.map(str::to_owned),
+        body,
     })
 }
 
--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -104,6 +104,12 @@
         self.not_before = now + self.backoff.failed(error.come_back());
     }
 
+    /// Forgets what was seen: the next call is a list, at once.
+    pub fn restart(&mut self) {
+        self.seen = None;
+        self.not_before = Duration::ZERO;
+    }
+
     /// Calls in a row that failed.
     pub fn failures(&self) -> u32 {
         self.backoff.failures()
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -37,7 +37,7 @@
     Changes, Expect, Listing, MAX_VALUE_BYTES, Object, ObjectChange, Refusal, Revision, Vm,
     VmState, Written,
 };
-pub use parse::{RawAnswer, parse};
+pub use parse::{RawAnswer, Reply, parse};
 pub use stale::StaleStatuses;
 pub use stand_in::{
     Admission, CallCounts, CallKind, Faults, Objects, ObjectsError, Outage, Service, StandIn,
@@ -46,3 +46,4 @@
 pub use status::BalancerStatus;
 pub use store::{Store, Stored};
 pub use token_bucket::TokenBucket;
+pub use ureq::http::Method;
--- a/crates/platform/src/parse.rs
+++ b/crates/platform/src/parse.rs
@@ -20,6 +20,24 @@
     pub body: &'a [u8],
 }
 
+/// A whole answer that no one has looked into.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Text of the `Retry-After` header.
+    pub retry_after: Option<String>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    /// When the platform asks to be called again.
+    pub fn come_back(&self) -> Option<Duration> {
+        self.retry_after.as_deref().and_then(come_back)
+    }
+}
+
 /// Reads a success, or turns the answer into an error.
 ///
 /// Only a body that says so makes an error with the verdict "not run".
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -17,6 +17,18 @@
     value.as_integer().is_some_and(|n| (MIN..=MAX).contains(&n))
 }
 
+/// A time in seconds, whole or not, from `MIN` to `MAX`.
+pub(crate) fn seconds<const MIN: i64, const MAX: i64>(value: &Value) -> bool {
+    let whole = value.as_integer().map(|n| n as f64);
+    let number = value.as_float().or(whole);
+    number.is_some_and(|n| (MIN as f64..=MAX as f64).contains(&n))
+}
+
+/// A path of a URL.
+pub(crate) fn path(value: &Value) -> bool {
+    value.as_str().is_some_and(|s| s.starts_with('/'))
+}
+
 /// `true` or `false`.
 pub(crate) fn boolean(value: &Value) -> bool {
     value.is_bool()
--- a/crates/settings/src/data.rs
+++ b/crates/settings/src/data.rs
@@ -5,9 +5,34 @@
 use crate::check;
 use crate::key::section;
 
+/// Form of the packets of the fabric.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    serde::Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "lowercase")]
+#[strum(serialize_all = "lowercase")]
+pub enum Format {
+    /// IP packets; balancers agree on the target of a flow.
+    #[default]
+    Ip,
+    /// Packets of the users' platform; a cookie in each names the target.
+    Cookie,
+}
+
 section! {
     /// Packets from the fabric and to the targets.
     "data" DataSettings {
+        /// Form of the packets. With `cookie`, the section `cookie` applies, and `peers`, `health` and `admin` do not.
+        format: Format = Format::Ip, "ip, cookie", check::parsed::<Format>;
         /// Address and UDP port at which the fabric delivers packets, each as the payload of a datagram.
         listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 7000)), "an IP address and port", check::socket;
         /// Where answers to callers are sent, each as the payload of a datagram; without it, to the sender of the packet.
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -65,6 +65,7 @@
 pub(crate) const SECTIONS: &[(&str, &[KeyInfo])] = &[
     (crate::NodeSettings::ABOUT, crate::NodeSettings::KEYS),
     (crate::DataSettings::ABOUT, crate::DataSettings::KEYS),
+    (crate::CookieSettings::ABOUT, crate::CookieSettings::KEYS),
     (crate::PeersSettings::ABOUT, crate::PeersSettings::KEYS),
     (
         crate::PlatformSettings::ABOUT,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admin;
 mod check;
+mod cookie;
 mod data;
 mod error;
 mod health;
@@ -18,7 +19,8 @@
 mod stop;
 
 pub use admin::{AdminSettings, TokenRole, TokenSettings};
-pub use data::DataSettings;
+pub use cookie::CookieSettings;
+pub use data::{DataSettings, Format};
 pub use error::{Error, Result};
 pub use health::{HealthSettings, Probe};
 pub use key::{KeyInfo, keys, markdown};
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -9,8 +9,8 @@
 use crate::error::{ReadSnafu, ValueSnafu};
 use crate::key::keys;
 use crate::{
-    AdminSettings, DataSettings, HealthSettings, LogSettings, NodeSettings, PeersSettings,
-    PlatformSettings, Result, StopSettings,
+    AdminSettings, CookieSettings, DataSettings, HealthSettings, LogSettings, NodeSettings,
+    PeersSettings, PlatformSettings, Result, StopSettings,
 };
 
 /// All settings of a balancer.
@@ -21,6 +21,8 @@
     pub node: NodeSettings,
     /// The data path.
     pub data: DataSettings,
+    /// Packets with a flow cookie.
+    pub cookie: CookieSettings,
     /// Other balancers.
     pub peers: PeersSettings,
     /// The platform.
--- a/crates/settings/src/log.rs
+++ b/crates/settings/src/log.rs
@@ -6,7 +6,7 @@
 use crate::key::section;
 
 section! {
-    /// The log, written to standard error.
+    /// The log, written to standard output.
     "log" LogSettings {
         /// Level from which events are written; `debug` tells decisions on flows, `trace` on packets too.
         level: LogLevel = LogLevel::Info, "error, warning, info, debug, trace", check::parsed::<LogLevel>;
