feat: silent targets are probed, and their flows reset before callers use them

Cause: in a zone cut or after crashes, callers went on using flows to targets that could not answer, and lost a request each; targets were suspected by data whose answer this balancer simply did not see. A caller's next attempt avoids the target of its last. A pause after each change joins store events. Ruled out: deciding from packets alone with a lower threshold: a busy target looks the same.

--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -8,16 +8,20 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::attempts::Attempts;
 use crate::decision::{Decision, DropReason, PlaceReason, ResetReason};
 use crate::directory::{Target, TargetChange, TargetNews};
+use crate::effects::Pending;
 use crate::flows::Flow;
 use crate::routes::Taken;
 use crate::unknown::UnknownCookies;
 use crate::{
-    Candidate, Config, Cookie, Directory, FlowId, Flows, Manifest, Route, Routes, Segment,
-    TargetEntry, TargetId, TargetKey, choose,
+    Candidate, Config, Cookie, Directory, Effects, FlowId, FlowReset, Flows, Manifest, ProbeOrder,
+    Route, Routes, Segment, Suspicion, TargetEntry, TargetId, TargetKey, choose,
 };
 
+/// Silent targets of a failure domain from which the whole of it is doubted.
+const SILENT_OF_DOMAIN: usize = 2;
 /// Seed of the hash that splits a route's flows among services; the same on
 /// every balancer, so that copies of an opening packet go to one service.
 const SPLIT_SEED: u64 = 0x5e71;
@@ -33,17 +37,6 @@
     pub manifest: Manifest,
 }
 
-/// A target that began to be avoided; told in the log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Suspicion {
-    /// The target.
-    pub target: TargetId,
-    /// Suspicions in a row.
-    pub suspicions: u32,
-    /// Flows here that go to it.
-    pub flows: u32,
-}
-
 /// The state of the data path of one process.
 pub struct Balancer {
     cfg: Config,
@@ -51,9 +44,9 @@
     manifest: Option<Arc<Manifest>>,
     directory: Directory,
     flows: Flows,
+    attempts: Attempts,
     unknown: UnknownCookies,
-    /// Not told yet.
-    suspicions: Vec<Suspicion>,
+    pending: Pending,
     split: FixedState,
     rng: ChaCha8Rng,
 }
@@ -67,8 +60,9 @@
             manifest: None,
             directory: Directory::default(),
             flows: Flows::default(),
+            attempts: Attempts::default(),
             unknown: UnknownCookies::default(),
-            suspicions: Vec::new(),
+            pending: Pending::default(),
             split: FixedState::with_seed(SPLIT_SEED),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -79,6 +73,14 @@
         self.routes.version() > 0 && self.directory.is_loaded()
     }
 
+    /// Whether every target that could take flows is silent: this VM is cut off
+    /// from them, and others may not be.
+    pub fn is_isolated(&self, now: Duration) -> bool {
+        let cfg = &self.cfg.health;
+        let mut usable = self.directory.iter().filter(|t| t.takes_flows()).peekable();
+        usable.peek().is_some() && usable.all(|t| t.health.is_silent(now, cfg))
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> &Routes {
         &self.routes
@@ -112,7 +114,7 @@
         settled: bool,
     ) -> Vec<(TargetId, TargetNews)> {
         let news = self.directory.replace(now, revision, list, settled);
-        self.forget_flows_of(&news);
+        self.end_flows_of(&news);
         news
     }
 
@@ -125,7 +127,7 @@
         settled: bool,
     ) -> Vec<(TargetId, TargetNews)> {
         let news = self.directory.apply(now, revision, changes, settled);
-        self.forget_flows_of(&news);
+        self.end_flows_of(&news);
         news
     }
 
@@ -146,20 +148,58 @@
     /// every second or so.
     pub fn sweep(&mut self, now: Duration) -> Vec<(TargetId, TargetNews)> {
         let idle = self.routes.flow_idle().unwrap_or(self.cfg.flow_idle);
-        let ended = self.flows.take_ended(|flow| now >= flow.last_seen + idle);
-        for flow in ended {
+        let ended = self
+            .flows
+            .take_ended(|_, flow| now >= flow.last_seen + idle);
+        for (_, flow) in ended {
             self.unload(flow);
         }
+        self.attempts.sweep(now);
         self.unknown.sweep(now, self.cfg.flow_max_age);
         let keep = self.cfg.flow_max_age + idle;
         let news = self.directory.sweep(now, keep);
-        self.forget_flows_of(&news);
+        self.end_flows_of(&news);
         news
     }
 
-    /// Suspicions since the last call.
-    pub fn take_suspicions(&mut self) -> Vec<Suspicion> {
-        std::mem::take(&mut self.suspicions)
+    /// What is to be done since the last call.
+    pub fn take_effects(&mut self) -> Effects {
+        self.pending.take()
+    }
+
+    /// Takes in whether something answered a probe. Returns whether the target
+    /// has become silent.
+    pub fn probed(&mut self, now: Duration, order: &ProbeOrder, answered: bool) -> bool {
+        let Some(key) = self.directory.by_cookie(order.target.cookie()) else {
+            return false;
+        };
+        let Some(target) = self.directory.get_mut(key) else {
+            return false;
+        };
+        if target.entry.id != order.target || !target.health.probed(order.asked, answered) {
+            return false;
+        }
+        let domain = Arc::clone(&target.entry.domain);
+        self.reset_flows_of(&[key], ResetReason::TargetSilent);
+        self.doubt_domain(now, &domain);
+        true
+    }
+
+    /// Asks for probes of all targets with flows here in a failure domain of
+    /// which several are silent: the domain may be cut off as a whole.
+    fn doubt_domain(&mut self, now: Duration, domain: &str) {
+        let cfg = self.cfg.health;
+        let in_domain = |t: &&mut Target| *t.entry.domain == *domain && !t.is_gone();
+        let silent = self.directory.iter_mut().filter(in_domain);
+        let silent = silent.filter(|t| t.health.is_silent(now, &cfg)).count();
+        if silent < SILENT_OF_DOMAIN {
+            return;
+        }
+        for target in self.directory.iter_mut().filter(in_domain) {
+            if target.load.flows > 0 && target.health.ask_probe(now) {
+                self.pending.probes.push(order(target, now));
+            }
+        }
     }
 
     /// Decides on a caller's packet.
@@ -190,10 +230,14 @@
         if let Some(flow) = earlier {
             self.end_flow(&seg.flow);
             if copy && let Some(target) = self.directory.get_mut(flow.target) {
-                target.health.repeated();
+                target.health.repeated(flow.sent);
+                doubt(&self.cfg, &mut self.pending, now, target);
             }
         }
-        let avoid = earlier.filter(|_| copy).map(|flow| flow.target);
+        let avoid = match earlier.filter(|_| copy) {
+            Some(flow) => Some(flow.target),
+            None => self.attempts.failed(now, &seg.flow),
+        };
         let Some(key) = self.place(now, &service, avoid) else {
             return reset(seg, ResetReason::NoTarget);
         };
@@ -276,24 +320,26 @@
         let answered = !flow.open || seg.ack != flow.acked;
         let repeated = !answered && seg.data_len > 0 && seg.seq == flow.seq;
         if answered {
-            target.health.progress();
+            target.health.progress(now);
+            self.attempts.answered(&seg.flow);
         }
         if answered && flow.busy {
             flow.busy = false;
             target.load.busy = target.load.busy.saturating_sub(1);
         }
-        if seg.data_len > 0 {
-            target.health.data(now);
+        if repeated {
+            target.health.repeated(flow.sent);
+        } else if seg.data_len > 0 {
+            self.attempts.sent(now, seg.flow, key);
             flow.seq = seg.seq;
+            flow.sent = now;
         }
         if seg.data_len > 0 && !flow.busy {
             flow.busy = true;
             target.load.busy += 1;
         }
-        if repeated {
-            target.health.repeated();
-        }
-        let silent = repeated && target.health.silent(now, &self.cfg.health);
+        doubt(&self.cfg, &mut self.pending, now, target);
+        let silent = target.health.is_silent(now, &self.cfg.health);
         flow.open = true;
         flow.acked = seg.ack;
         flow.last_seen = now;
@@ -302,7 +348,9 @@
             .routes
             .get(seg.flow.route)
             .is_some_and(|r| r.idempotent);
-        silent && idempotent
+        // Repeated data of a request that must not run twice may have run: its
+        // answer can still come. New data was never sent to the target.
+        silent && seg.data_len > 0 && (idempotent || !repeated)
     }
 
     /// Observes a flow that another balancer placed.
@@ -328,6 +376,7 @@
             return;
         };
         target.health.opening(now);
+        self.attempts.sent(now, seg.flow, key);
         if self.flows.len() >= self.cfg.max_flows {
             return;
         }
@@ -352,19 +401,39 @@
         }
     }
 
-    /// Forgets the flows of targets that hold none any more.
-    fn forget_flows_of(&mut self, news: &[(TargetId, TargetNews)]) {
+    /// Ends the flows of targets that hold none any more.
+    fn end_flows_of(&mut self, news: &[(TargetId, TargetNews)]) {
         let lost = |news: &TargetNews| matches!(news, TargetNews::Gone | TargetNews::Reborn);
-        if !news.iter().any(|(_, news)| lost(news)) {
-            return;
-        }
-        let cookies = news.iter().filter(|(_, news)| lost(news));
-        let keys: Vec<TargetKey> = cookies
+        let lost = news.iter().filter(|(_, news)| lost(news));
+        let keys: Vec<TargetKey> = lost
             .filter_map(|(id, _)| self.directory.by_cookie(id.cookie()))
             .collect();
-        let ended = self.flows.take_ended(|flow| keys.contains(&flow.target));
-        for flow in ended {
-            self.unload(flow);
+        if !keys.is_empty() {
+            self.reset_flows_of(&keys, ResetReason::TargetGone);
+        }
+    }
+
+    /// Resets the flows of targets before their callers use them again: what is
+    /// sent on a flow after its target fell silent is lost, and a request that
+    /// must not run twice could not be tried again. A flow with such a request
+    /// under way stays while the target may still answer it.
+    fn reset_flows_of(&mut self, keys: &[TargetKey], reason: ResetReason) {
+        let routes = &self.routes;
+        let may_answer = reason == ResetReason::TargetSilent;
+        let ended = self.flows.take_ended(|id, flow| {
+            let idempotent = routes.get(id.route).is_some_and(|r| r.idempotent);
+            let waits = may_answer && flow.busy && !idempotent;
+            keys.contains(&flow.target) && !waits
+        });
+        for (flow, state) in ended {
+            self.unload(state);
+            let acked = state.acked;
+            let reset = FlowReset {
+                flow,
+                acked,
+                reason,
+            };
+            self.pending.resets.push_back(reset);
         }
     }
 
@@ -394,14 +463,15 @@
             let Some(target) = self.directory.get_mut(key) else {
                 continue;
             };
-            let before = target.health.suspicions();
-            let suspected = target.health.suspected(now, &self.cfg.health);
-            if target.health.suspicions() > before {
-                self.suspicions.push(Suspicion {
+            let before = target.health.doubts();
+            let suspected = target.health.avoided(now, &self.cfg.health);
+            if target.health.doubts() > before {
+                self.pending.suspicions.push(Suspicion {
                     target: target.entry.id,
-                    suspicions: target.health.suspicions(),
+                    doubts: target.health.doubts(),
                     flows: target.load.flows,
                 });
+                doubt(&self.cfg, &mut self.pending, now, target);
             }
             candidates.push(Candidate {
                 key,
@@ -429,6 +499,21 @@
     }
 }
 
+fn order(target: &Target, now: Duration) -> ProbeOrder {
+    ProbeOrder {
+        target: target.entry.id,
+        address: target.entry.address,
+        asked: now,
+    }
+}
+
+/// Asks for a probe of a target if packets raise a doubt.
+fn doubt(cfg: &Config, pending: &mut Pending, now: Duration, target: &mut Target) {
+    if target.health.take_probe(now, &cfg.health) {
+        pending.probes.push(order(target, now));
+    }
+}
+
 /// A reset is never answered by a reset.
 fn reset(seg: &Segment, reason: ResetReason) -> Decision {
     match seg.flags.rst {
--- a/crates/cookie/src/directory.rs
+++ b/crates/cookie/src/directory.rs
@@ -213,6 +213,14 @@
         self.targets.get_mut(key.0 as usize)?.as_mut()
     }
 
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Target> {
+        self.targets.iter().flatten()
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> {
+        self.targets.iter_mut().flatten()
+    }
+
     fn present(&mut self, now: Duration, entry: TargetEntry) -> Option<TargetNews> {
         let cold_until = now + entry.cold_for;
         let Some(target) = self.find(entry.id) else {
--- a/crates/cookie/src/flows.rs
+++ b/crates/cookie/src/flows.rs
@@ -22,6 +22,8 @@
     pub acked: u32,
     /// Sequence number of the caller's last data.
     pub seq: u32,
+    /// When that data was first sent; for an opening flow, the opening packet.
+    pub sent: Duration,
     /// Whether data was sent and no acknowledgement has risen since.
     pub busy: bool,
 }
@@ -36,6 +38,7 @@
             copies,
             acked: 0,
             seq: 0,
+            sent: now,
             busy: false,
         }
     }
@@ -71,8 +74,11 @@
     }
 
     /// Removes and returns the flows for which `ended` holds.
-    pub(crate) fn take_ended(&mut self, mut ended: impl FnMut(&Flow) -> bool) -> Vec<Flow> {
-        let taken = self.flows.extract_if(|_, flow| ended(flow));
-        taken.map(|(_, flow)| flow).collect()
+    pub(crate) fn take_ended(
+        &mut self,
+        mut ended: impl FnMut(&FlowId, &Flow) -> bool,
+    ) -> Vec<(FlowId, Flow)> {
+        let taken = self.flows.extract_if(|id, flow| ended(id, flow));
+        taken.collect()
     }
 }
--- a/crates/cookie/src/health.rs
+++ b/crates/cookie/src/health.rs
@@ -1,29 +1,35 @@
-//! Detection of silent targets from the packets of callers alone.
+//! Detection of silent targets.
 //!
-//! The balancer does not see what targets answer. It sees that a caller goes on:
-//! an opening packet is followed by another packet of the flow, data is followed
-//! by a higher acknowledgement. Load pattern: a target dies with flows open and
-//! new ones arriving; everything sent to it piles up unanswered.
+//! The balancer does not see what targets answer. It sees what callers do: an
+//! opening packet that is answered is followed by another packet of the flow;
+//! data that is not answered is sent again. Load pattern: a target dies, or is
+//! cut off, with flows open and new ones arriving.
+//!
+//! Packets only raise a doubt, since a busy target is not a dead one. A doubt
+//! asks for a probe, a plain connection to the target, and only a probe that
+//! fails makes the target silent: its flows are ended, so that callers of
+//! repeatable requests try again elsewhere within their time.
 
 use std::time::Duration;
 
 /// Settings of [`Health`].
 #[derive(Clone, Copy, Debug)]
 pub struct HealthConfig {
-    /// Longest time to answer an opening packet before the target gets no new
-    /// flows; several round trips to the callers.
+    /// Longest time to answer an opening packet before the target is doubted;
+    /// several round trips to the callers.
     pub syn_grace: Duration,
-    /// Longest time without any progress, while data waits, before the target
-    /// gets no new flows; above the time of a slow request.
-    pub data_grace: Duration,
-    /// First time for which a suspected target gets no new flows; doubles with
-    /// each suspicion in a row.
+    /// First time for which a doubted target gets no new flows; doubles with
+    /// each doubt in a row.
     pub first_pause: Duration,
     /// Longest such time.
     pub longest_pause: Duration,
-    /// Time without any progress after which flows with repeated data are reset.
+    /// Least time between two probes of a target.
+    pub probe_every: Duration,
+    /// Time without any answer after which a target is silent whatever its
+    /// probes say: another process may have taken over its address. Above the
+    /// time of the slowest request behind a full queue.
     pub silence: Duration,
-    /// Packets repeated without progress before flows are reset.
+    /// Packets repeated in that time.
     pub silent_repeats: u32,
 }
 
@@ -31,28 +37,44 @@
     fn default() -> Self {
         Self {
             syn_grace: Duration::from_millis(60),
-            data_grace: Duration::from_millis(400),
             first_pause: Duration::from_millis(500),
             longest_pause: Duration::from_secs(2),
+            probe_every: Duration::from_millis(500),
             silence: Duration::from_millis(450),
             silent_repeats: 4,
         }
     }
 }
 
-/// What the packets tell about one target.
+/// What is believed of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Belief {
+    #[default]
+    Answers,
+    /// A probe was asked for.
+    Doubted,
+    /// A probe failed and nothing was answered since it was asked for.
+    Silent,
+}
+
+/// What the packets and probes tell about one target.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
-    /// Oldest opening packet sent since the last progress.
+    belief: Belief,
+    /// When the target last answered anything.
+    last_progress: Duration,
+    /// Oldest opening packet sent since then.
     syn_since: Option<Duration>,
-    /// Oldest data sent since the last progress.
-    data_since: Option<Duration>,
-    /// Packets that callers repeated since the last progress.
+    /// When the oldest data was sent that callers repeated since then.
+    unanswered_since: Option<Duration>,
+    /// Packets that callers repeated since then.
     repeats: u32,
     /// No new flows before this time.
     paused_until: Duration,
-    /// Suspicions in a row, without progress between them.
-    suspicions: u32,
+    /// Doubts in a row, without an answer between them.
+    doubts: u32,
+    /// When the last probe was asked for.
+    probe_asked: Option<Duration>,
 }
 
 impl Health {
@@ -61,48 +83,101 @@
         self.syn_since.get_or_insert(now);
     }
 
-    /// Takes in that data was sent to the target.
-    pub fn data(&mut self, now: Duration) {
-        self.data_since.get_or_insert(now);
-    }
-
-    /// Takes in that a caller repeated a packet.
-    pub fn repeated(&mut self) {
+    /// Takes in that a caller repeated a packet that it first sent at `sent`.
+    /// It tells nothing if the target answered others since.
+    pub fn repeated(&mut self, sent: Duration) {
+        if sent < self.last_progress {
+            return;
+        }
+        let since = self.unanswered_since.map_or(sent, |since| since.min(sent));
+        self.unanswered_since = Some(since);
         self.repeats = self.repeats.saturating_add(1);
     }
 
     /// Takes in that the target answered something.
-    pub fn progress(&mut self) {
-        *self = Health::default();
+    pub fn progress(&mut self, now: Duration) {
+        *self = Health {
+            last_progress: now,
+            probe_asked: self.probe_asked,
+            ..Health::default()
+        };
     }
 
     /// Whether new flows go elsewhere if possible. After a pause one flow may
     /// try again, and its silence pauses the target for longer.
-    pub fn suspected(&mut self, now: Duration, cfg: &HealthConfig) -> bool {
-        if now < self.paused_until {
+    pub fn avoided(&mut self, now: Duration, cfg: &HealthConfig) -> bool {
+        if self.belief == Belief::Silent || now < self.paused_until {
             return true;
         }
-        let late = |since: Option<Duration>, grace| since.is_some_and(|s| now > s + grace);
-        if !late(self.syn_since, cfg.syn_grace) && !late(self.data_since, cfg.data_grace) {
+        if !self.has_evidence(now, cfg) {
             return false;
         }
-        let doublings = self.suspicions.min(8);
+        let doublings = self.doubts.min(8);
         let pause = cfg.first_pause.saturating_mul(1 << doublings);
         self.paused_until = now + pause.min(cfg.longest_pause);
-        self.suspicions = self.suspicions.saturating_add(1);
-        self.syn_since = None;
+        self.doubts = self.doubts.saturating_add(1);
         true
     }
 
-    /// Whether nothing at all came from the target for so long that its flows
-    /// are better ended: callers of repeatable requests try again elsewhere.
-    pub fn silent(&self, now: Duration, cfg: &HealthConfig) -> bool {
-        let waits = self.data_since.is_some_and(|s| now > s + cfg.silence);
-        waits && self.repeats >= cfg.silent_repeats
+    /// Whether a probe is to be made now; asking counts as making it. A silent
+    /// target is probed again and again, until it answers.
+    pub fn take_probe(&mut self, now: Duration, cfg: &HealthConfig) -> bool {
+        let recent = self
+            .probe_asked
+            .is_some_and(|at| now < at + cfg.probe_every);
+        let wanted = self.belief == Belief::Silent || self.has_evidence(now, cfg);
+        if recent || !wanted {
+            return false;
+        }
+        if self.belief == Belief::Answers {
+            self.belief = Belief::Doubted;
+        }
+        self.probe_asked = Some(now);
+        true
+    }
+
+    /// Asks for a probe without evidence from packets: others that share the
+    /// target's fate are silent. Returns whether one is to be made.
+    pub fn ask_probe(&mut self, now: Duration) -> bool {
+        if self.belief != Belief::Answers {
+            return false;
+        }
+        self.belief = Belief::Doubted;
+        self.probe_asked = Some(now);
+        true
+    }
+
+    /// Takes in whether something answered a probe that was asked for at
+    /// `asked`. Returns whether the target has become silent.
+    pub fn probed(&mut self, asked: Duration, answered: bool) -> bool {
+        let before = self.belief;
+        if answered {
+            self.belief = Belief::Answers;
+            self.syn_since = None;
+            return false;
+        }
+        if self.last_progress >= asked {
+            return false;
+        }
+        self.belief = Belief::Silent;
+        before != Belief::Silent
+    }
+
+    /// Whether the target's flows are better ended.
+    pub fn is_silent(&self, now: Duration, cfg: &HealthConfig) -> bool {
+        let waits = self
+            .unanswered_since
+            .is_some_and(|s| now >= s + cfg.silence);
+        self.belief == Belief::Silent || (waits && self.repeats >= cfg.silent_repeats)
+    }
+
+    /// Doubts in a row.
+    pub fn doubts(&self) -> u32 {
+        self.doubts
     }
 
-    /// Suspicions in a row.
-    pub fn suspicions(&self) -> u32 {
-        self.suspicions
+    fn has_evidence(&self, now: Duration, cfg: &HealthConfig) -> bool {
+        let late = self.syn_since.is_some_and(|s| now > s + cfg.syn_grace);
+        late || self.unanswered_since.is_some()
     }
 }
--- a/crates/cookie/src/lib.rs
+++ b/crates/cookie/src/lib.rs
@@ -8,10 +8,12 @@
 //!
 //! Nothing here does I/O; the time is an argument everywhere.
 
+mod attempts;
 mod balancer;
 mod config;
 mod decision;
 mod directory;
+mod effects;
 mod flows;
 mod health;
 mod load;
@@ -22,10 +24,11 @@
 mod target;
 mod unknown;
 
-pub use balancer::{Balancer, Snapshot, Suspicion};
+pub use balancer::{Balancer, Snapshot};
 pub use config::Config;
 pub use decision::{Decision, DropReason, PlaceReason, ResetReason};
 pub use directory::{Directory, TargetChange, TargetKey, TargetNews};
+pub use effects::{Effects, FlowReset, ProbeOrder, Suspicion};
 pub use flows::Flows;
 pub use health::{Health, HealthConfig};
 pub use load::Load;
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -28,8 +28,7 @@
 use crate::board::Board;
 use crate::joining::Joining;
 use crate::platform_link::Write;
-use crate::probe::Orders;
-use crate::targets::Targets;
+use crate::targets::{ProbeOrders, Targets};
 
 /// Time between two ticks of the core.
 const TICK: Duration = Duration::from_millis(50);
@@ -70,7 +69,7 @@
     pub net: Option<Arc<PeerNet>>,
     pub health: HealthSettings,
     /// Takes orders to probe targets.
-    pub prober: Option<Orders>,
+    pub prober: Option<ProbeOrders>,
     /// Control addresses of the settings.
     pub seeds: Vec<SocketAddr>,
     /// What the platform is told of this balancer at first.
--- a/crates/daemon/src/cookie/follower.rs
+++ b/crates/daemon/src/cookie/follower.rs
@@ -25,6 +25,9 @@
     first: Duration::from_millis(300),
     cap: Duration::from_millis(1_000),
 };
+/// Mean time from a change to the next watch, so that changes in a row come
+/// together; well below the bounds for manifests and leaving targets.
+const SETTLE: Duration = Duration::from_millis(400);
 /// Time over which balancers spread out that must list again.
 const RESYNC_SPREAD: Duration = Duration::from_millis(200);
 
@@ -45,7 +48,7 @@
     pub fn new(shared: Arc<Shared>, client: Arc<Client>, kind: Kind, watch_wait: Duration) -> Self {
         let cfg = FollowConfig {
             watch_wait,
-            settle: Duration::ZERO,
+            settle: SETTLE,
             resync_spread: RESYNC_SPREAD,
             backoff: BACKOFF,
             ..FollowConfig::default()
--- /dev/null
+++ b/crates/daemon/src/cookie/outlet.rs
@@ -0,0 +1,113 @@
+//! What leaves the balancer: packets, resets, probes and lines about them.
+
+use std::net::{SocketAddrV4, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use sequoiatrail_adapter::encode_reset;
+use sequoiatrail_cookie::{Effects, FlowId, ResetReason, Suspicion};
+use sequoiatrail_events::Event;
+
+use super::prober::Prober;
+use super::shared::Shared;
+use crate::counters::{Count, Counters};
+
+/// Sends, for any thread.
+pub(super) struct Outlet {
+    shared: Arc<Shared>,
+    socket: Arc<UdpSocket>,
+    prober: Prober,
+    /// Port of callers that resets are sent to.
+    caller_port: u16,
+    counters: Arc<Counters>,
+}
+
+impl Outlet {
+    pub fn new(
+        shared: Arc<Shared>,
+        socket: Arc<UdpSocket>,
+        prober: Prober,
+        caller_port: u16,
+    ) -> Outlet {
+        Outlet {
+            counters: shared.counters.for_thread(),
+            shared,
+            socket,
+            prober,
+            caller_port,
+        }
+    }
+
+    /// Carries out what follows from a decision.
+    pub fn carry_out(&self, now: Duration, effects: Effects) {
+        if effects.is_empty() {
+            return;
+        }
+        for suspicion in &effects.suspicions {
+            self.log_suspicion(suspicion);
+        }
+        for reset in &effects.resets {
+            self.counters.add(Count::Reset, 1);
+            self.reset(now, &reset.flow, reset.acked, reset.reason);
+        }
+        self.prober.make(effects.probes);
+    }
+
+    /// Resets a flow towards its caller.
+    pub fn reset(&self, now: Duration, flow: &FlowId, acked: u32, reason: ResetReason) {
+        let to = SocketAddrV4::new(*flow.caller.ip(), self.caller_port);
+        self.send(now, &encode_reset(flow, acked), to);
+        self.log_decision(now, flow, "reset", reason.into(), String::new());
+    }
+
+    /// Sends a datagram; a failure is counted and logged.
+    pub fn send(&self, now: Duration, bytes: &[u8], to: SocketAddrV4) {
+        let Err(e) = self.socket.send_to(bytes, to) else {
+            return;
+        };
+        self.counters.add(Count::SendFailed, 1);
+        if let Some(skipped) = self.shared.lines.failed_sends.admit(now) {
+            self.shared.log.emit(Event::SendFailed {
+                to: to.into(),
+                error: e.to_string(),
+                skipped,
+            });
+        }
+    }
+
+    /// Logs a decision on a flow, up to the limit of lines.
+    pub fn log_decision(
+        &self,
+        now: Duration,
+        flow: &FlowId,
+        outcome: &'static str,
+        reason: &'static str,
+        target: String,
+    ) {
+        let Some(skipped) = self.shared.lines.decisions.admit(now) else {
+            return;
+        };
+        let (manifest, revision) = {
+            let balancer = self.shared.lock();
+            (balancer.routes().version(), balancer.directory().revision())
+        };
+        self.shared.log.emit(Event::FlowDecided {
+            flow: flow.to_string(),
+            outcome,
+            reason,
+            target,
+            manifest,
+            revision,
+            age_ms: self.shared.targets_age(now).as_millis() as u64,
+            skipped,
+        });
+    }
+
+    fn log_suspicion(&self, suspicion: &Suspicion) {
+        self.shared.log.emit(Event::TargetSuspected {
+            target: suspicion.target.to_string(),
+            doubts: suspicion.doubts,
+            flows: suspicion.flows,
+        });
+    }
+}
--- a/crates/daemon/src/cookie/packets.rs
+++ b/crates/daemon/src/cookie/packets.rs
@@ -1,18 +1,19 @@
 //! The thread that receives packets and acts on the decisions.
 
 use std::io::{self, ErrorKind};
-use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
 
-use sequoiatrail_adapter::{
-    HEAD_BYTES, PREFIX_BYTES, decode_packet, encode_reset, prefix, write_cookie,
+use sequoiatrail_adapter::{PREFIX_BYTES, decode_packet, prefix, write_cookie};
+use sequoiatrail_cookie::{
+    Decision, DropReason, Effects, PlaceReason, ResetReason, Segment, TargetId,
 };
-use sequoiatrail_cookie::{Decision, DropReason, PlaceReason, ResetReason, Segment, TargetId};
 use sequoiatrail_events::Event;
 
 use super::changes::log_news;
 use super::metrics::record_handling;
+use super::outlet::Outlet;
 use super::shared::Shared;
 use crate::counters::{Count, Counters};
 
@@ -22,23 +23,25 @@
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 
 /// Receives and forwards packets.
+///
+/// Each packet is decided on under the lock; sending, logging and asking for
+/// probes follow without it.
 pub(super) struct Packets {
     shared: Arc<Shared>,
-    socket: UdpSocket,
-    /// Port of callers that resets are sent to.
-    caller_port: u16,
+    socket: Arc<UdpSocket>,
+    outlet: Arc<Outlet>,
     counters: Arc<Counters>,
     swept: Duration,
 }
 
 impl Packets {
-    pub fn new(shared: Arc<Shared>, socket: UdpSocket, caller_port: u16) -> Packets {
+    pub fn new(shared: Arc<Shared>, socket: Arc<UdpSocket>, outlet: Arc<Outlet>) -> Packets {
         Packets {
+            outlet,
             counters: shared.counters.for_thread(),
             swept: shared.clock.now(),
             shared,
             socket,
-            caller_port,
         }
     }
 
@@ -66,7 +69,7 @@
             Ok(seg) => seg,
             Err(e) => return self.unreadable(now, from, &e),
         };
-        let (decision, suspected) = self.decide(now, &seg);
+        let (decision, effects) = self.decide(now, &seg);
         match decision {
             Decision::Forward {
                 target,
@@ -78,39 +81,21 @@
                     write_cookie(&mut buf[PREFIX_BYTES..], cookie);
                 }
                 buf[..PREFIX_BYTES].copy_from_slice(&prefix(target));
-                self.send(now, buf, to);
+                self.outlet.send(now, buf, to);
                 self.note_forwarded(now, &seg, target, reason);
             }
             Decision::Reset(reason) => self.reset(now, &seg, reason),
             Decision::Drop(reason) => self.dropped(reason),
         }
-        self.log_suspected(&suspected);
+        self.outlet.carry_out(now, effects);
         let took = self.shared.clock.now().saturating_sub(now);
         record_handling(self.shared.handling.get(), took);
     }
 
-    fn decide(
-        &self,
-        now: Duration,
-        seg: &Segment,
-    ) -> (Decision, Vec<sequoiatrail_cookie::Suspicion>) {
+    fn decide(&self, now: Duration, seg: &Segment) -> (Decision, Effects) {
         let mut balancer = self.shared.lock();
         let decision = balancer.decide(now, seg);
-        (decision, balancer.take_suspicions())
-    }
-
-    fn send(&self, now: Duration, bytes: &[u8], to: SocketAddrV4) {
-        let Err(e) = self.socket.send_to(bytes, to) else {
-            return;
-        };
-        self.counters.add(Count::SendFailed, 1);
-        if let Some(skipped) = self.shared.lines.failed_sends.admit(now) {
-            self.shared.log.emit(Event::SendFailed {
-                to: to.into(),
-                error: e.to_string(),
-                skipped,
-            });
-        }
+        (decision, balancer.take_effects())
     }
 
     fn note_forwarded(&self, now: Duration, seg: &Segment, target: TargetId, reason: PlaceReason) {
@@ -121,7 +106,8 @@
         };
         self.counters.add(count, 1);
         if !known {
-            self.log_decision(now, seg, "forward", reason.into(), target.to_string());
+            self.outlet
+                .log_decision(now, &seg.flow, "forward", reason.into(), target.to_string());
         }
     }
 
@@ -131,10 +117,7 @@
             false => Count::Reset,
         };
         self.counters.add(count, 1);
-        let to = SocketAddrV4::new(*seg.flow.caller.ip(), self.caller_port);
-        let reset: [u8; HEAD_BYTES] = encode_reset(seg);
-        self.send(now, &reset, to);
-        self.log_decision(now, seg, "reset", reason.into(), String::new());
+        self.outlet.reset(now, &seg.flow, seg.ack, reason);
     }
 
     fn dropped(&self, reason: DropReason) {
@@ -156,54 +139,23 @@
         }
     }
 
-    fn log_decision(
-        &self,
-        now: Duration,
-        seg: &Segment,
-        outcome: &'static str,
-        reason: &'static str,
-        target: String,
-    ) {
-        let Some(skipped) = self.shared.lines.decisions.admit(now) else {
-            return;
-        };
-        let (manifest, revision) = {
-            let balancer = self.shared.lock();
-            (balancer.routes().version(), balancer.directory().revision())
-        };
-        self.shared.log.emit(Event::FlowDecided {
-            flow: seg.flow.to_string(),
-            outcome,
-            reason,
-            target,
-            manifest,
-            revision,
-            age_ms: self.shared.targets_age(now).as_millis() as u64,
-            skipped,
-        });
-    }
-
-    fn log_suspected(&self, suspected: &[sequoiatrail_cookie::Suspicion]) {
-        for s in suspected {
-            self.shared.log.emit(Event::TargetSuspected {
-                target: s.target.to_string(),
-                suspicions: s.suspicions,
-                flows: s.flows,
-            });
-        }
-    }
-
     fn sweep(&mut self) {
         let now = self.shared.clock.now();
         if now < self.swept + SWEEP_EVERY {
             return;
         }
         self.swept = now;
-        let (news, revision) = {
+        let (news, revision, effects) = {
             let mut balancer = self.shared.lock();
-            (balancer.sweep(now), balancer.directory().revision())
+            let news = balancer.sweep(now);
+            (
+                news,
+                balancer.directory().revision(),
+                balancer.take_effects(),
+            )
         };
         log_news(&self.shared, &news, revision, "sweep");
+        self.outlet.carry_out(now, effects);
     }
 }
 
--- a/crates/daemon/src/cookie/shared.rs
+++ b/crates/daemon/src/cookie/shared.rs
@@ -18,6 +18,9 @@
 /// Time between two looks from which the process counts as having stood still.
 const PAUSE: Duration = Duration::from_millis(1_500);
 
+/// Why packets are asked for.
+const READY: &str = "manifest and targets are known";
+
 /// Limits of log lines.
 pub(super) struct Lines {
     pub decisions: RateLimit,
@@ -87,19 +90,30 @@
 
     /// Whether the routers should send packets here.
     pub fn is_ready(&self) -> bool {
-        let stopping = self.stopping.load(Ordering::Acquire);
-        let ready = !stopping && self.lock().is_ready();
+        let reason = self.readiness();
+        let ready = reason == READY;
         if self.told_ready.swap(ready, Ordering::AcqRel) != ready {
-            let reason = match (ready, stopping) {
-                (true, _) => "manifest and targets are known",
-                (false, true) => "stopping",
-                (false, false) => "manifest or targets are not known",
-            };
             self.log.emit(Event::ReadinessChanged { ready, reason });
         }
         ready
     }
 
+    /// Why packets are asked for, or not.
+    fn readiness(&self) -> &'static str {
+        if self.stopping.load(Ordering::Acquire) {
+            return "stopping";
+        }
+        let now = self.clock.now();
+        let balancer = self.lock();
+        if !balancer.is_ready() {
+            return "manifest or targets are not known";
+        }
+        if balancer.is_isolated(now) {
+            return "no target can be reached";
+        }
+        READY
+    }
+
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Release);
     }
--- a/crates/daemon/src/cookie/start.rs
+++ b/crates/daemon/src/cookie/start.rs
@@ -17,7 +17,9 @@
 use super::CookieDaemon;
 use super::follower::Follower;
 use super::http;
+use super::outlet::Outlet;
 use super::packets::Packets;
+use super::prober::Prober;
 use super::reload::Reloader;
 use super::shared::Shared;
 use crate::Result;
@@ -53,7 +55,16 @@
         0 => listen.port(),
         port => port,
     };
-    let packets = Packets::new(Arc::clone(&shared), socket, caller_port);
+    let (prober, probes) = Prober::new(Arc::clone(&shared));
+    let socket = Arc::new(socket);
+    let outlet = Arc::new(Outlet::new(
+        Arc::clone(&shared),
+        Arc::clone(&socket),
+        prober.clone(),
+        caller_port,
+    ));
+    let packets = Packets::new(Arc::clone(&shared), socket, Arc::clone(&outlet));
+    daemon.spawn("probe", move || prober.run(outlet, probes))?;
     daemon.spawn("packets", move || packets.run())?;
     daemon.follow_store(&settings, &clock)?;
     shared.log.emit(Event::Started {
--- a/crates/daemon/src/daemon/start.rs
+++ b/crates/daemon/src/daemon/start.rs
@@ -22,7 +22,7 @@
 use crate::outlet::Outlet;
 use crate::peer_link::Wiring;
 use crate::platform_link::Write;
-use crate::probe::Orders;
+use crate::targets::ProbeOrders;
 use crate::{Result, StopFlag, admin_link, peer_link, platform_link, probe, receive};
 
 /// Balancers of a failure domain that watch the platform.
@@ -219,13 +219,20 @@
         Ok(())
     }
 
-    fn start_prober(&mut self, inputs: Sender<Input>) -> Result<Option<Orders>> {
+    fn start_prober(&mut self, inputs: Sender<Input>) -> Result<Option<ProbeOrders>> {
         let cfg = self.settings.health.clone();
         if cfg.probe == Probe::None {
             return Ok(None);
         }
         let (orders, queued) = tokio::sync::mpsc::unbounded_channel();
-        self.spawn("probe".into(), move || probe::run(&cfg, queued, &inputs))?;
+        let limit = Duration::from_millis(cfg.timeout_ms);
+        let report = move |round, outcome| {
+            // A closed queue means that the balancer ends.
+            let _ = inputs.send(Input::Probed(round, outcome));
+        };
+        self.spawn("probe".into(), move || {
+            probe::run(cfg.probe, limit, queued, report)
+        })?;
         Ok(Some(orders))
     }
 
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -2,18 +2,15 @@
 
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
-use std::sync::mpsc::Sender;
 use std::time::Duration;
 
-use sequoiatrail_health::{Probe as ProbeRound, ProbeOutcome};
-use sequoiatrail_settings::{HealthSettings, Probe};
+use sequoiatrail_health::ProbeOutcome;
+use sequoiatrail_settings::Probe;
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::runtime::Builder;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::time::timeout;
 
-use crate::control::Input;
-
 /// What a UDP probe sends.
 const QUESTION: &[u8] = b"load?";
 /// Longest answer to a UDP probe that is looked at, in bytes.
@@ -21,35 +18,38 @@
 /// Most probes that wait for an answer at once; further ones wait for their turn.
 const MAX_PROBES: usize = 256;
 
-/// A probe to make.
+/// A probe to make; `key` tells whose it is.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Order {
-    pub round: ProbeRound,
+pub(crate) struct Order<K> {
+    pub key: K,
     pub address: SocketAddr,
 }
 
 /// Takes orders; the thread ends when it is dropped.
-pub(crate) type Orders = UnboundedSender<Order>;
+pub(crate) type Orders<K> = UnboundedSender<Order<K>>;
 
-/// Probes targets until the orders end.
-pub(crate) fn run(
-    cfg: &HealthSettings,
-    mut orders: UnboundedReceiver<Order>,
-    inputs: &Sender<Input>,
-) -> io::Result<()> {
+/// Probes targets until the orders end; `report` gets each outcome.
+pub(crate) fn run<K, F>(
+    kind: Probe,
+    limit: Duration,
+    mut orders: UnboundedReceiver<Order<K>>,
+    report: F,
+) -> io::Result<()>
+where
+    K: Send + 'static,
+    F: Fn(K, ProbeOutcome) + Clone + Send + 'static,
+{
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    let (kind, limit) = (cfg.probe, Duration::from_millis(cfg.timeout_ms));
     let turns = std::sync::Arc::new(tokio::sync::Semaphore::new(MAX_PROBES));
     runtime.block_on(async {
         while let Some(order) = orders.recv().await {
             let Ok(turn) = std::sync::Arc::clone(&turns).acquire_owned().await else {
                 return;
             };
-            let inputs = inputs.clone();
+            let report = report.clone();
             tokio::spawn(async move {
                 let outcome = probe(kind, order.address, limit).await;
-                // A closed queue means that the balancer ends.
-                let _ = inputs.send(Input::Probed(order.round, outcome));
+                report(order.key, outcome);
                 drop(turn);
             });
         }
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -14,7 +14,10 @@
 use sequoiatrail_types::{NodeId, TargetId};
 use sequoiatrail_wire::message::{Share, TargetMessage};
 
-use crate::probe::{self, Order};
+use crate::probe::{Order, Orders};
+
+/// Takes the probes that are due.
+pub(crate) type ProbeOrders = Orders<ProbeRound>;
 
 /// Time between two counts of open flows.
 const SHARES_INTERVAL: Duration = Duration::from_secs(1);
@@ -37,7 +40,7 @@
     health: Health,
     load: Load,
     /// `None` if targets are not probed.
-    prober: Option<probe::Orders>,
+    prober: Option<ProbeOrders>,
     settings: ProbeSettings,
     next_shares: Duration,
     /// When the other balancers are told all counts again.
@@ -48,7 +51,7 @@
     pub fn new(
         node: NodeId,
         settings: &ProbeSettings,
-        prober: Option<probe::Orders>,
+        prober: Option<ProbeOrders>,
         log: Log,
     ) -> Self {
         let health = HealthSettings {
@@ -182,7 +185,10 @@
                 address.set_port(self.settings.port);
             }
             // A closed queue means that the balancer ends.
-            let _ = prober.send(Order { round, address });
+            let _ = prober.send(Order {
+                key: round,
+                address,
+            });
         }
     }
 
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -359,8 +359,8 @@
     704 Warning TargetSuspected {
         /// The target in hexadecimal.
         target: String,
-        /// Suspicions in a row.
-        suspicions: u32,
+        /// Doubts in a row, without an answer between them.
+        doubts: u32,
         /// Flows here that go to it.
         flows: u32,
     }
@@ -413,6 +413,20 @@
         /// Such events held back since the last line of this number.
         skipped: u64,
     }
+    /// Nothing answers at a target, and it answered no caller meanwhile: its flows are reset.
+    713 Warning TargetSilent {
+        /// The target in hexadecimal.
+        target: String,
+        /// Time since the probe was asked for, in milliseconds.
+        asked_ms: u64,
+    }
+    /// Something answers at a target that was doubted.
+    714 Info TargetAnswers {
+        /// The target in hexadecimal.
+        target: String,
+        /// Time since the probe was asked for, in milliseconds.
+        asked_ms: u64,
+    }
     /// This balancer asks the routers for packets, or to send none.
     712 Info ReadinessChanged {
         /// Whether it takes packets.
