--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -159,6 +159,10 @@
         let keep = self.cfg.flow_max_age + idle;
         let news = self.directory.sweep(now, keep);
         self.end_flows_of(&news);
+        // A silent target is probed until it answers, also without packets.
+        for target in self.directory.iter_mut().filter(|t| !t.is_gone()) {
+            doubt(&self.cfg, &mut self.pending, now, target);
+        }
         news
     }
 
@@ -471,8 +475,8 @@
                     doubts: target.health.doubts(),
                     flows: target.load.flows,
                 });
-                doubt(&self.cfg, &mut self.pending, now, target);
             }
+            doubt(&self.cfg, &mut self.pending, now, target);
             candidates.push(Candidate {
                 key,
                 local: target.entry.domain == self.cfg.domain,
--- a/crates/cookie/src/directory.rs
+++ b/crates/cookie/src/directory.rs
@@ -250,7 +250,8 @@
 
     fn unreadable(&mut self, id: TargetId) -> Option<TargetNews> {
         let target = self.find(id)?;
-        if target.presence == Presence::Unreadable {
+        // An entry that can't be read brings no target back.
+        if target.is_gone() || target.presence == Presence::Unreadable {
             return None;
         }
         target.presence = Presence::Unreadable;
@@ -259,10 +260,8 @@
 
     fn vanished(&mut self, now: Duration, id: TargetId, settled: bool) -> Option<TargetNews> {
         let target = self.find(id)?;
-        if matches!(
-            target.presence,
-            Presence::Lapsed { .. } | Presence::Gone { .. }
-        ) {
+        let lapsed = matches!(target.presence, Presence::Lapsed { .. });
+        if target.is_gone() || (lapsed && !settled) {
             return None;
         }
         if settled || target.entry.lifecycle == Lifecycle::Draining {
--- /dev/null
+++ b/crates/cookie/tests/common/mod.rs
@@ -0,0 +1,193 @@
+//! A balancer with targets, routes and callers, all driven by hand.
+
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use sequoiatrail_cookie::{
+    Balancer, Config, Cookie, Decision, Effects, Flags, FlowId, Lifecycle, Manifest, ProbeOrder,
+    Route, Segment, Share, TargetChange, TargetEntry, TargetId, TargetNews,
+};
+
+/// Port of the route whose requests may be sent again.
+pub const REPEATABLE: u16 = 443;
+/// Port of the route whose requests may run once at most.
+pub const ONCE: u16 = 8080;
+/// Time from an opening packet to the caller's next one.
+pub const ROUND_TRIP: Duration = Duration::from_millis(7);
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn entry(id: u64, domain: &str) -> TargetEntry {
+    TargetEntry {
+        id: TargetId(id),
+        service: Arc::from("app"),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, id as u8), 9_000),
+        domain: Arc::from(domain),
+        slots: 2,
+        lifecycle: Lifecycle::Ready,
+        cold_for: Duration::ZERO,
+        born_ms: Some(1),
+    }
+}
+
+pub fn route(port: u16, services: &[(&str, u32)]) -> Route {
+    let share = |(service, weight): &(&str, u32)| Share {
+        service: Arc::from(*service),
+        weight: *weight,
+    };
+    Route {
+        address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port),
+        shares: services.iter().map(share).collect(),
+        idempotent: port != ONCE,
+    }
+}
+
+pub fn manifest(version: u64, routes: Vec<Route>) -> Arc<Manifest> {
+    Arc::new(Manifest {
+        version,
+        flow_idle: Duration::from_secs(15),
+        routes,
+    })
+}
+
+/// A balancer in failure domain `a`, and the time.
+pub struct World {
+    pub balancer: Balancer,
+    pub now: Duration,
+    revision: u64,
+}
+
+impl World {
+    /// Targets 1 to `local` are in the balancer's own failure domain `a`, the
+    /// next `foreign` ones in `b`.
+    pub fn new(local: u64, foreign: u64) -> World {
+        let cfg = Config {
+            domain: Arc::from("a"),
+            ..Config::default()
+        };
+        let mut balancer = Balancer::new(cfg, 7);
+        let routes = vec![route(REPEATABLE, &[("app", 1)]), route(ONCE, &[("app", 1)])];
+        balancer.apply_manifest(manifest(1, routes));
+        let mut world = World {
+            balancer,
+            now: Duration::from_secs(100),
+            revision: 10,
+        };
+        let domain = |id| if id <= local { "a" } else { "b" };
+        let list = (1..=local + foreign).map(|id| TargetChange::Present(entry(id, domain(id))));
+        world
+            .balancer
+            .replace_targets(world.now, 10, list.collect(), true);
+        world
+    }
+
+    pub fn pass(&mut self, time: Duration) {
+        self.now += time;
+    }
+
+    pub fn change(
+        &mut self,
+        changes: Vec<TargetChange>,
+        settled: bool,
+    ) -> Vec<(TargetId, TargetNews)> {
+        self.revision += 1;
+        self.balancer
+            .change_targets(self.now, self.revision, changes, settled)
+    }
+
+    pub fn decide(&mut self, seg: Segment) -> Decision {
+        self.balancer.decide(self.now, &seg)
+    }
+
+    pub fn effects(&mut self) -> Effects {
+        self.balancer.take_effects()
+    }
+
+    /// Answers all probes that were asked for; returns how many there were.
+    pub fn answer_probes(&mut self, answered: impl Fn(&ProbeOrder) -> bool) -> Vec<ProbeOrder> {
+        let probes = self.effects().probes;
+        for probe in &probes {
+            self.balancer.probed(self.now, probe, answered(probe));
+        }
+        probes
+    }
+
+    /// Opens a flow; returns its target.
+    pub fn open(&mut self, caller: u16, port: u16) -> TargetId {
+        let opened = self.decide(syn(caller, port, 0));
+        let (target, cookie) = forwarded(opened);
+        let cookie = cookie.expect("an opening packet gets a cookie");
+        self.pass(ROUND_TRIP);
+        self.decide(data(caller, port, cookie, 1, 1));
+        target
+    }
+
+    /// A request on an open flow that is answered at once.
+    pub fn answered(&mut self, caller: u16, port: u16, target: TargetId, number: u32) {
+        let cookie = target.cookie();
+        self.decide(data(caller, port, cookie, number, number));
+        self.pass(ms(30));
+        self.decide(ack(caller, port, cookie, number + 1));
+    }
+}
+
+pub fn flow(caller: u16, port: u16) -> FlowId {
+    FlowId {
+        caller: SocketAddrV4::new(
+            Ipv4Addr::new(100, 64, (caller >> 8) as u8, caller as u8),
+            caller,
+        ),
+        route: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port),
+    }
+}
+
+/// An opening packet; `copies` were sent before.
+pub fn syn(caller: u16, port: u16, copies: u32) -> Segment {
+    Segment {
+        flow: flow(caller, port),
+        flags: Flags {
+            syn: true,
+            ..Flags::default()
+        },
+        seq: 1,
+        ack: copies,
+        data_len: 0,
+        cookie: Cookie(0),
+    }
+}
+
+/// A request; all that came before `acked` is acknowledged.
+pub fn data(caller: u16, port: u16, cookie: Cookie, seq: u32, acked: u32) -> Segment {
+    Segment {
+        flags: Flags {
+            ack: true,
+            ..Flags::default()
+        },
+        seq,
+        ack: acked,
+        data_len: 100,
+        cookie,
+        ..syn(caller, port, 0)
+    }
+}
+
+pub fn ack(caller: u16, port: u16, cookie: Cookie, acked: u32) -> Segment {
+    Segment {
+        data_len: 0,
+        ..data(caller, port, cookie, 1, acked)
+    }
+}
+
+/// Target and cookie of a packet that is forwarded.
+pub fn forwarded(decision: Decision) -> (TargetId, Option<Cookie>) {
+    match decision {
+        Decision::Forward { target, cookie, .. } => (target, cookie),
+        other => panic!("not forwarded: {other:?}"),
+    }
+}
