--- a/crates/daemon/src/cookie.rs
+++ b/crates/daemon/src/cookie.rs
@@ -15,6 +15,7 @@
 mod shared;
 mod start;
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -40,13 +41,15 @@
 /// Time between two looks while stopping.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
-/// A running balancer.
+/// A running balancer. Dropping it ends it at once, as a crash would; use
+/// [`CookieDaemon::stop`] for a graceful stop.
 pub struct CookieDaemon {
     shared: Arc<Shared>,
     threads: Vec<JoinHandle<()>>,
     /// Error of the first thread that ended by one.
     failure: Arc<Mutex<Option<String>>>,
     http: Option<HttpServer>,
+    listen: SocketAddr,
     reloader: Reloader,
     stop_grace: Duration,
 }
@@ -63,6 +66,16 @@
         failure.clone()
     }
 
+    /// Address of readiness and metrics.
+    pub fn http_address(&self) -> Option<SocketAddr> {
+        self.http.as_ref().map(HttpServer::addr)
+    }
+
+    /// Address that packets are received at.
+    pub fn listen(&self) -> SocketAddr {
+        self.listen
+    }
+
     /// Whether this balancer asks the routers for packets.
     pub fn is_ready(&self) -> bool {
         self.shared.is_ready()
@@ -106,7 +119,13 @@
     fn end(&mut self) {
         self.shared.ended.store(true, Ordering::Release);
         self.http = None;
-        // Threads that wait for the store end with the process.
+        // Threads that wait for the store end after their call.
         self.threads.clear();
     }
 }
+
+impl Drop for CookieDaemon {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
--- a/crates/daemon/src/cookie/start.rs
+++ b/crates/daemon/src/cookie/start.rs
@@ -48,6 +48,7 @@
         threads: Vec::new(),
         failure: Arc::default(),
         http: Some(server),
+        listen,
         stop_grace: Duration::from_secs_f64(cookie.stop_grace_s),
         reloader: Reloader::new(file, settings.clone()),
     };
--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,124 @@
+//! Balancers with flow cookies over stand-ins of the users' platform.
+
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use sequoiatrail_cookie::TargetId;
+use sequoiatrail_daemon::cookie::CookieDaemon;
+use sequoiatrail_events::Log;
+use sequoiatrail_settings::{Format, Settings};
+use sequoiatrail_stand_in::{Callers, Outcome, Router, Runs, Store, Target};
+use serde_json::{Value, json};
+
+/// Longest wait for something that has to come true.
+pub const LIMIT: Duration = Duration::from_secs(20);
+/// Time that a caller gives a request.
+pub const BUDGET: Duration = Duration::from_secs(2);
+
+/// Waits until something is true.
+pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < LIMIT, "never came true: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+pub fn route(number: u8, kind: &str, service: &str) -> Value {
+    json!({
+        "name": format!("r-{number}"), "host": format!("198.18.0.{number}"),
+        "path_prefix": "/8443/", "type": kind, "service": service,
+    })
+}
+
+pub fn address(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new([198, 18, 0, number].into(), 8_443)
+}
+
+/// The platform with its callers.
+pub struct Platform {
+    pub store: Store,
+    pub router: Router,
+    pub callers: Callers,
+    pub runs: Runs,
+    next_request: u64,
+}
+
+impl Platform {
+    pub fn start() -> Platform {
+        let router = Router::start();
+        Platform {
+            store: Store::start().unwrap(),
+            callers: Callers::start(router.clone()).unwrap(),
+            router,
+            runs: Runs::default(),
+            next_request: 1,
+        }
+    }
+
+    pub fn put_manifest(&self, version: u64, routes: &[Value]) {
+        let spec = json!({
+            "version": version, "routes": routes, "services": [],
+            "limits": { "idle_timeout_ms": 15_000 },
+        });
+        self.store.put("config", "main", spec);
+    }
+
+    /// Starts a target and registers it.
+    pub fn target(&self, id: u64, service: &str) -> Target {
+        let place = (service, "a");
+        let target =
+            Target::start(TargetId(id), place, 0, self.callers.port(), &self.runs).unwrap();
+        self.store
+            .put("servers", &target.name(), target.entry("ready"));
+        target
+    }
+
+    /// Starts a balancer and tells the routers.
+    pub fn balancer(&self) -> CookieDaemon {
+        let mut settings = Settings::default();
+        settings.data.format = Format::Cookie;
+        settings.data.listen = ([127, 0, 0, 1], 0).into();
+        settings.platform.endpoint = Some(self.store.addr());
+        settings.cookie.failure_domain = "a".into();
+        settings.cookie.http_listen = ([127, 0, 0, 1], 0).into();
+        settings.cookie.readiness_path = "/sequoiatrail/readiness".into();
+        settings.cookie.caller_port = self.callers.port();
+        settings.cookie.watch_wait_ms = 500;
+        settings.cookie.stop_grace_s = 2.0;
+        let file = Path::new("none.toml");
+        let daemon = CookieDaemon::start(file, settings, Log::discard()).unwrap();
+        let http = daemon.http_address().unwrap();
+        self.router.add(daemon.listen(), http);
+        daemon
+    }
+
+    pub fn wait_ready(&self, balancers: usize) {
+        wait_for("balancers in rotation", || {
+            self.router.in_rotation() == balancers
+        });
+    }
+
+    /// Identity of a new request.
+    pub fn request_id(&mut self) -> u64 {
+        self.next_request += 1;
+        self.next_request
+    }
+
+    /// One request on a flow of its own.
+    pub fn ask(&mut self, route: SocketAddrV4) -> Outcome {
+        let id = self.request_id();
+        match self.callers.open(route) {
+            Ok(mut flow) => flow.request(id, BUDGET),
+            Err(outcome) => outcome,
+        }
+    }
+}
+
+pub fn answered(service: &str) -> Outcome {
+    Outcome::Answered(service.into())
+}
--- /dev/null
+++ b/crates/daemon/tests/cookie_path.rs
@@ -0,0 +1,229 @@
+//! The whole path over stand-ins of the users' platform: store, routers,
+//! balancers, targets and callers.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{BUDGET, Platform, address, answered, route, wait_for};
+use sequoiatrail_stand_in::{Fault, Outcome};
+
+const APP: u8 = 1;
+const PORTAL: u8 = 2;
+
+fn routes() -> Vec<serde_json::Value> {
+    vec![
+        route(APP, "idempotent", "app"),
+        route(PORTAL, "non_idempotent", "portal"),
+    ]
+}
+
+#[test]
+fn flows_survive_the_planned_change_of_balancers_and_targets() {
+    let mut platform = Platform::start();
+    platform.put_manifest(3, &routes());
+    let leaving = platform.target(0x11, "app");
+    let _portal = platform.target(0x22, "portal");
+    let first = platform.balancer();
+    let _second = platform.balancer();
+    platform.wait_ready(2);
+    let mut flows: Vec<_> = (0..20)
+        .map(|n| {
+            let service = [(APP, "app"), (PORTAL, "portal")][n % 2];
+            let flow = platform.callers.open(address(service.0)).unwrap();
+            (flow, service.1)
+        })
+        .collect();
+    let mut ask_all = |platform: &mut Platform| {
+        for (flow, service) in &mut flows {
+            let id = platform.request_id();
+            assert_eq!(flow.request(id, BUDGET), answered(service));
+            assert_eq!(platform.runs.of(id).len(), 1);
+            assert_eq!(platform.runs.of(id)[0].0, *service);
+        }
+    };
+    ask_all(&mut platform);
+    let _third = platform.balancer();
+    platform.wait_ready(3);
+    ask_all(&mut platform);
+    first.stop();
+    platform.wait_ready(2);
+    ask_all(&mut platform);
+    let _joining = platform.target(0x33, "app");
+    let entry = leaving.entry("draining");
+    platform.store.put("servers", &leaving.name(), entry);
+    std::thread::sleep(Duration::from_millis(1_000));
+    ask_all(&mut platform);
+    for _ in 0..20 {
+        let id = platform.request_id();
+        let mut flow = platform.callers.open(address(APP)).unwrap();
+        assert_eq!(flow.request(id, BUDGET), answered("app"));
+        assert_eq!(platform.runs.of(id)[0].1.0, 0x33);
+    }
+    assert_eq!(platform.callers.forged(), 0);
+}
+
+#[test]
+fn a_manifest_is_in_force_soon_and_a_route_that_goes_takes_its_flows() {
+    let mut platform = Platform::start();
+    platform.put_manifest(3, &routes()[..1]);
+    let _app = platform.target(0x11, "app");
+    let _portal = platform.target(0x22, "portal");
+    let _balancer = platform.balancer();
+    platform.wait_ready(1);
+    let refused = Outcome::Reset { by_balancer: true };
+    assert_eq!(platform.ask(address(PORTAL)), refused);
+    platform.put_manifest(9, &routes());
+    wait_for("the new route is in force", || {
+        platform.ask(address(PORTAL)) == answered("portal")
+    });
+    let mut flow = platform.callers.open(address(APP)).unwrap();
+    platform.put_manifest(12, &routes()[1..]);
+    wait_for("the old route is gone", || {
+        platform.ask(address(APP)) == refused
+    });
+    assert_eq!(flow.request(77, BUDGET), refused);
+    platform.put_manifest(10, &routes());
+    std::thread::sleep(Duration::from_millis(1_200));
+    assert_eq!(platform.ask(address(APP)), refused, "versions only rise");
+}
+
+#[test]
+fn balancers_serve_on_without_the_store_and_catch_up_at_its_return() {
+    for fault in [
+        Fault::Refuse(503),
+        Fault::Refuse(429),
+        Fault::Silent,
+        Fault::Lost,
+    ] {
+        let mut platform = Platform::start();
+        platform.put_manifest(3, &routes()[..1]);
+        let _app = platform.target(0x11, "app");
+        let _balancer = platform.balancer();
+        platform.wait_ready(1);
+        platform.store.set_fault(fault);
+        std::thread::sleep(Duration::from_millis(700));
+        assert_eq!(platform.ask(address(APP)), answered("app"), "{fault:?}");
+        platform.put_manifest(4, &routes());
+        let _portal = platform.target(0x22, "portal");
+        platform.store.compact();
+        platform.store.set_fault(Fault::None);
+        wait_for("news after the store's return", || {
+            platform.ask(address(PORTAL)) == answered("portal")
+        });
+    }
+}
+
+#[test]
+fn a_balancer_without_manifest_or_targets_asks_for_no_packets() {
+    let mut platform = Platform::start();
+    platform.put_manifest(3, &routes());
+    let _app = platform.target(0x11, "app");
+    platform.store.set_fault(Fault::Silent);
+    let balancer = platform.balancer();
+    std::thread::sleep(Duration::from_millis(400));
+    assert!(!balancer.is_ready());
+    platform.store.set_fault(Fault::None);
+    platform.wait_ready(1);
+    assert_eq!(platform.ask(address(APP)), answered("app"));
+}
+
+#[test]
+fn a_list_of_many_pages_is_taken_whole() {
+    let platform = Platform::start();
+    platform.put_manifest(3, &routes());
+    let targets: Vec<_> = (1..=120).map(|id| platform.target(id, "app")).collect();
+    let _balancer = platform.balancer();
+    platform.wait_ready(1);
+    let mut used = std::collections::HashSet::new();
+    let mut open = Vec::new();
+    for _ in 0..400 {
+        let flow = platform.callers.open(address(APP)).unwrap();
+        used.insert(flow.cookie());
+        open.push(flow);
+    }
+    assert_eq!(used.len(), targets.len());
+}
+
+#[test]
+fn a_target_that_starts_again_under_its_identity_serves_new_flows() {
+    let mut platform = Platform::start();
+    platform.put_manifest(3, &routes()[..1]);
+    let target = platform.target(0x11, "app");
+    let _balancer = platform.balancer();
+    platform.wait_ready(1);
+    let mut flow = platform.callers.open(address(APP)).unwrap();
+    assert_eq!(flow.request(5, BUDGET), answered("app"));
+    drop(target);
+    let _reborn = platform.target(0x11, "app");
+    wait_for("the reborn target serves", || {
+        platform.ask(address(APP)) == answered("app")
+    });
+    assert!(matches!(flow.request(6, BUDGET), Outcome::Reset { .. }));
+    assert_eq!(platform.runs.of(6), []);
+}
+
+#[test]
+fn flows_of_a_dead_target_end_early_and_new_ones_go_elsewhere() {
+    let mut platform = Platform::start();
+    platform.put_manifest(3, &routes()[..1]);
+    let dead = platform.target(0x11, "app");
+    let _lives = platform.target(0x12, "app");
+    let _balancer = platform.balancer();
+    platform.wait_ready(1);
+    let mut flows: Vec<_> = (0..12)
+        .map(|_| platform.callers.open(address(APP)).unwrap())
+        .collect();
+    drop(dead);
+    let outcomes: Vec<_> = flows
+        .iter_mut()
+        .map(|flow| flow.request(platform.request_id(), Duration::from_secs(5)))
+        .collect();
+    let reset = Outcome::Reset { by_balancer: true };
+    assert!(outcomes.contains(&reset), "{outcomes:?}");
+    assert!(!outcomes.contains(&Outcome::TimedOut), "{outcomes:?}");
+    for _ in 0..20 {
+        assert_eq!(platform.ask(address(APP)), answered("app"));
+    }
+}
+
+#[test]
+fn an_entry_of_another_writer_names_no_target_and_the_others_hold() {
+    let mut platform = Platform::start();
+    platform.put_manifest(3, &routes()[..1]);
+    let _app = platform.target(0x11, "app");
+    for (name, spec) in [
+        ("i-99", serde_json::json!({ "service": "app" })),
+        ("i-98", serde_json::json!("bytes")),
+        ("not a target", serde_json::json!(null)),
+        ("i-97", serde_json::json!({ "service": 7, "address": [] })),
+    ] {
+        platform.store.put("servers", name, spec);
+    }
+    let _balancer = platform.balancer();
+    platform.wait_ready(1);
+    for _ in 0..10 {
+        assert_eq!(platform.ask(address(APP)), answered("app"));
+    }
+}
+
+#[test]
+fn metrics_are_served_as_text() {
+    let mut platform = Platform::start();
+    platform.put_manifest(3, &routes());
+    let _app = platform.target(0x11, "app");
+    let balancer = platform.balancer();
+    platform.wait_ready(1);
+    assert_eq!(platform.ask(address(APP)), answered("app"));
+    let url = format!("http://{}/metrics", balancer.http_address().unwrap());
+    let mut reply = ureq::get(url).call().unwrap();
+    let text = reply.body_mut().read_to_string().unwrap();
+    for name in [
+        "sequoiatrail_flows",
+        "sequoiatrail_manifest_version",
+        "sequoiatrail_packet_handling_seconds",
+        "sequoiatrail_received",
+    ] {
+        assert!(text.contains(name), "{name} in {text}");
+    }
+}
--- a/crates/daemon/tests/program.rs
+++ b/crates/daemon/tests/program.rs
@@ -57,6 +57,32 @@
     assert_eq!(text(&version.stdout), expected);
 }
 
+#[test]
+fn settings_are_found_by_an_environment_variable() {
+    let unset = run(&["--check", "--settings-from", "SEQUOIATRAIL_NOT_SET"]);
+    assert_eq!(unset.status.code(), Some(2));
+    assert!(text(&unset.stderr).contains("SEQUOIATRAIL_NOT_SET"));
+    let settings = file(
+        "cookie.toml",
+        "[data]\nformat = \"cookie\"\n[platform]\nendpoint = \"127.0.0.1:1\"\n",
+    );
+    let checked = Command::new(PROGRAM)
+        .args(["--check", "--settings-from", "SEQUOIATRAIL_TEST_FILE"])
+        .env("SEQUOIATRAIL_TEST_FILE", &settings)
+        .output()
+        .unwrap();
+    assert_eq!(checked.status.code(), Some(0));
+    assert!(text(&checked.stdout).contains("settings are valid"));
+}
+
+#[test]
+fn a_balancer_with_cookies_needs_a_platform() {
+    let settings = file("no-platform.toml", "[data]\nformat = \"cookie\"\n");
+    let output = run(&[settings.to_str().unwrap()]);
+    assert_eq!(output.status.code(), Some(3));
+    assert!(text(&output.stderr).contains("platform.endpoint"));
+}
+
 #[test]
 fn a_wrong_command_line_exits_with_2() {
     for args in [&[][..], &["--no-such-option"], &["a.toml", "b.toml"]] {
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -9,7 +9,7 @@
 use crate::error::{ReadSnafu, ValueSnafu};
 use crate::key::keys;
 use crate::{
-    AdminSettings, CookieSettings, DataSettings, HealthSettings, LogSettings, NodeSettings,
+    AdminSettings, CookieSettings, DataSettings, Format, HealthSettings, LogSettings, NodeSettings,
     PeersSettings, PlatformSettings, Result, StopSettings,
 };
 
@@ -95,6 +95,10 @@
         let allowed = "no value while platform.embedded = true";
         return refused(file, "platform.endpoint", &value, allowed);
     }
+    if settings.data.format == Format::Cookie && platform.endpoint.is_none() {
+        let allowed = "ip unless platform.endpoint names the store";
+        return refused(file, "data.format", &Value::from("cookie"), allowed);
+    }
     let peers = &settings.peers;
     if !peers.seeds.is_empty() && peers.key.is_empty() {
         let allowed = "at least 16 bytes while peers.seeds names balancers";
