--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -327,20 +327,19 @@
             target.health.progress(now);
             self.attempts.answered(&seg.flow);
         }
-        if answered && flow.busy {
-            flow.busy = false;
-            target.load.busy = target.load.busy.saturating_sub(1);
+        if answered {
+            target.load.settle(&mut flow);
         }
         if repeated {
             target.health.repeated(flow.sent);
+            target.load.stick(&mut flow);
         } else if seg.data_len > 0 {
             self.attempts.sent(now, seg.flow, key);
             flow.seq = seg.seq;
             flow.sent = now;
         }
-        if seg.data_len > 0 && !flow.busy {
-            flow.busy = true;
-            target.load.busy += 1;
+        if seg.data_len > 0 {
+            target.load.occupy(&mut flow);
         }
         doubt(&self.cfg, &mut self.pending, now, target);
         let silent = target.health.is_silent(now, &self.cfg.health);
@@ -399,10 +398,9 @@
         let Some(target) = self.directory.get_mut(flow.target) else {
             return;
         };
+        let mut flow = flow;
+        target.load.settle(&mut flow);
         target.load.flows = target.load.flows.saturating_sub(1);
-        if flow.busy {
-            target.load.busy = target.load.busy.saturating_sub(1);
-        }
     }
 
     /// Ends the flows of targets that hold none any more.
--- a/crates/cookie/src/flows.rs
+++ b/crates/cookie/src/flows.rs
@@ -26,6 +26,8 @@
     pub sent: Duration,
     /// Whether data was sent and no acknowledgement has risen since.
     pub busy: bool,
+    /// Whether that data was sent more than once.
+    pub stuck: bool,
 }
 
 impl Flow {
@@ -40,6 +42,7 @@
             seq: 0,
             sent: now,
             busy: false,
+            stuck: false,
         }
     }
 }
--- a/crates/cookie/src/place.rs
+++ b/crates/cookie/src/place.rs
@@ -20,6 +20,9 @@
     pub cold_cost: f64,
     /// Cost of a flow with an unanswered request, in open flows.
     pub busy_cost: f64,
+    /// Cost of a flow whose request had to be sent again, in open flows: the
+    /// target's queue is long, or it hangs on some requests.
+    pub stuck_cost: f64,
 }
 
 impl Default for PlaceConfig {
@@ -27,7 +30,8 @@
         Self {
             foreign_cost: 4.0,
             cold_cost: 2.0,
-            busy_cost: 0.0,
+            busy_cost: 1.0,
+            stuck_cost: 4.0,
         }
     }
 }
@@ -51,7 +55,9 @@
 
 impl Candidate {
     fn cost(&self, cfg: &PlaceConfig) -> f64 {
-        let flows = f64::from(self.load.flows) + f64::from(self.load.busy) * cfg.busy_cost;
+        let busy = f64::from(self.load.busy) * cfg.busy_cost;
+        let stuck = f64::from(self.load.stuck) * cfg.stuck_cost;
+        let flows = f64::from(self.load.flows) + busy + stuck;
         let mut cost = (flows + 1.0) / f64::from(self.slots.max(1));
         if !self.local {
             cost += cfg.foreign_cost;
--- a/crates/cookie/tests/placement.rs
+++ b/crates/cookie/tests/placement.rs
@@ -88,3 +88,42 @@
     let placed = counts((100..110).map(|caller| world.open(caller, REPEATABLE)));
     assert_eq!(placed.get(&TargetId(1)), None, "{placed:?}");
 }
+
+#[test]
+fn a_target_that_hangs_on_some_requests_gets_fewer_new_flows() {
+    let mut world = World::new(2, 0);
+    let flows: Vec<(u16, TargetId)> = (1..21)
+        .map(|caller| (caller, world.open(caller, REPEATABLE)))
+        .collect();
+    let at_first = |flows: &[(u16, TargetId)]| -> Vec<u16> {
+        let first = flows.iter().filter(|(_, t)| *t == TargetId(1));
+        first.map(|(caller, _)| *caller).collect()
+    };
+    let first = at_first(&flows);
+    // Two requests hang and are sent again; others go on being answered.
+    let hanging = |caller| data(caller, REPEATABLE, TargetId(1).cookie(), 70, 9);
+    for caller in &first[..2] {
+        world.decide(hanging(*caller));
+    }
+    for number in 0..10 {
+        world.answered(first[3], REPEATABLE, TargetId(1), 100 + number);
+    }
+    for caller in &first[..2] {
+        world.decide(hanging(*caller));
+    }
+    world.answered(first[3], REPEATABLE, TargetId(1), 200);
+    assert_eq!(world.effects().resets, [], "it answers others");
+    let next = counts((100..106).map(|caller| world.open(caller, REPEATABLE)));
+    assert_eq!(next.get(&TargetId(1)), None, "{next:?}");
+}
+
+#[test]
+fn requests_that_wait_count_beside_open_flows() {
+    let mut world = World::new(2, 0);
+    let busy = world.open(1, REPEATABLE);
+    let idle = world.open(2, REPEATABLE);
+    assert_ne!(busy, idle);
+    world.answered(2, REPEATABLE, idle, 20);
+    world.decide(data(1, REPEATABLE, busy.cookie(), 20, 9));
+    assert_eq!(world.open(3, REPEATABLE), idle);
+}
