--- a/crates/cookie/tests/common/mod.rs
+++ b/crates/cookie/tests/common/mod.rs
@@ -118,13 +118,13 @@
         probes
     }
 
-    /// Opens a flow; returns its target.
+    /// Opens a flow without a request; returns its target.
     pub fn open(&mut self, caller: u16, port: u16) -> TargetId {
         let opened = self.decide(syn(caller, port, 0));
         let (target, cookie) = forwarded(opened);
         let cookie = cookie.expect("an opening packet gets a cookie");
         self.pass(ROUND_TRIP);
-        self.decide(data(caller, port, cookie, 1, 1));
+        self.decide(ack(caller, port, cookie, 1));
         target
     }
 
