--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -68,6 +68,16 @@
         }
     }
 
+    /// Changes the settings; what is remembered stays.
+    pub fn configure(&mut self, cfg: Config) {
+        self.cfg = cfg;
+    }
+
+    /// Takes the next list of targets whatever its revision: it is of another store.
+    pub fn forget_revision(&mut self) {
+        self.directory.forget_revision();
+    }
+
     /// Whether packets can be placed: a manifest and a list of targets are there.
     pub fn is_ready(&self) -> bool {
         self.routes.version() > 0 && self.directory.is_loaded()
@@ -75,10 +85,9 @@
 
     /// Whether every target that could take flows is silent: this VM is cut off
     /// from them, and others may not be.
-    pub fn is_isolated(&self, now: Duration) -> bool {
-        let cfg = &self.cfg.health;
+    pub fn is_isolated(&self) -> bool {
         let mut usable = self.directory.iter().filter(|t| t.takes_flows()).peekable();
-        usable.peek().is_some() && usable.all(|t| t.health.is_silent(now, cfg))
+        usable.peek().is_some() && usable.all(|t| t.health.is_silent())
     }
 
     /// The routes in force.
@@ -192,10 +201,9 @@
     /// Asks for probes of all targets with flows here in a failure domain of
     /// which several are silent: the domain may be cut off as a whole.
     fn doubt_domain(&mut self, now: Duration, domain: &str) {
-        let cfg = self.cfg.health;
         let in_domain = |t: &&mut Target| *t.entry.domain == *domain && !t.is_gone();
         let silent = self.directory.iter_mut().filter(in_domain);
-        let silent = silent.filter(|t| t.health.is_silent(now, &cfg)).count();
+        let silent = silent.filter(|t| t.health.is_silent()).count();
         if silent < SILENT_OF_DOMAIN {
             return;
         }
@@ -206,6 +214,14 @@
         }
     }
 
+    /// Takes in that the process stood still: packets that came meanwhile are
+    /// only seen now, and tell nothing about targets.
+    pub fn forget_evidence(&mut self, now: Duration) {
+        for target in self.directory.iter_mut() {
+            target.health.forget_evidence(now);
+        }
+    }
+
     /// Decides on a caller's packet.
     pub fn decide(&mut self, now: Duration, seg: &Segment) -> Decision {
         if !self.is_ready() {
@@ -234,7 +250,7 @@
         if let Some(flow) = earlier {
             self.end_flow(&seg.flow);
             if copy && let Some(target) = self.directory.get_mut(flow.target) {
-                target.health.repeated(flow.sent);
+                target.health.repeated(now, flow.sent, &self.cfg.health);
                 doubt(&self.cfg, &mut self.pending, now, target);
             }
         }
@@ -331,7 +347,7 @@
             target.load.settle(&mut flow);
         }
         if repeated {
-            target.health.repeated(flow.sent);
+            target.health.repeated(now, flow.sent, &self.cfg.health);
             target.load.stick(&mut flow);
         } else if seg.data_len > 0 {
             self.attempts.sent(now, seg.flow, key);
@@ -342,7 +358,8 @@
             target.load.occupy(&mut flow);
         }
         doubt(&self.cfg, &mut self.pending, now, target);
-        let silent = target.health.is_silent(now, &self.cfg.health);
+        let seems_silent = repeated && target.health.seems_silent(now, &self.cfg.health);
+        let silent = target.health.is_silent() || seems_silent;
         flow.open = true;
         flow.acked = seg.ack;
         flow.last_seen = now;
--- a/crates/cookie/src/directory.rs
+++ b/crates/cookie/src/directory.rs
@@ -120,6 +120,11 @@
         listed.map(|t| &t.entry)
     }
 
+    /// Forgets the revision, not the targets.
+    pub(crate) fn forget_revision(&mut self) {
+        self.revision = 0;
+    }
+
     /// Takes in a whole list as of `revision`; a list older than what is known
     /// changes nothing. `settled` says that the store had no trouble lately.
     pub fn replace(
--- a/crates/cookie/src/health.rs
+++ b/crates/cookie/src/health.rs
@@ -23,11 +23,16 @@
     pub first_pause: Duration,
     /// Longest such time.
     pub longest_pause: Duration,
+    /// Least time after which a caller sends data again; copies that come sooner
+    /// were held up on their way.
+    pub least_resend: Duration,
+    /// Time for which a repeated packet counts as evidence.
+    pub evidence_age: Duration,
     /// Least time between two probes of a target.
     pub probe_every: Duration,
     /// Time without any answer after which a target is silent whatever its
     /// probes say: another process may have taken over its address. Above the
-    /// time of the slowest request behind a full queue.
+    /// time of the slowest request behind a full queue at a cold target.
     pub silence: Duration,
     /// Packets repeated in that time.
     pub silent_repeats: u32,
@@ -39,8 +44,10 @@
             syn_grace: Duration::from_millis(60),
             first_pause: Duration::from_millis(500),
             longest_pause: Duration::from_secs(2),
+            least_resend: Duration::from_millis(150),
+            evidence_age: Duration::from_secs(2),
             probe_every: Duration::from_millis(500),
-            silence: Duration::from_millis(450),
+            silence: Duration::from_millis(1_200),
             silent_repeats: 4,
         }
     }
@@ -67,6 +74,8 @@
     syn_since: Option<Duration>,
     /// When the oldest data was sent that callers repeated since then.
     unanswered_since: Option<Duration>,
+    /// When the last packet was repeated, if any was.
+    last_repeat: Option<Duration>,
     /// Packets that callers repeated since then.
     repeats: u32,
     /// No new flows before this time.
@@ -85,10 +94,12 @@
 
     /// Takes in that a caller repeated a packet that it first sent at `sent`.
     /// It tells nothing if the target answered others since.
-    pub fn repeated(&mut self, sent: Duration) {
-        if sent < self.last_progress {
+    pub fn repeated(&mut self, now: Duration, sent: Duration, cfg: &HealthConfig) {
+        if sent < self.last_progress || now < sent + cfg.least_resend {
             return;
         }
+        self.drop_old_evidence(now, cfg);
+        self.last_repeat = Some(now);
         let since = self.unanswered_since.map_or(sent, |since| since.min(sent));
         self.unanswered_since = Some(since);
         self.repeats = self.repeats.saturating_add(1);
@@ -103,6 +114,12 @@
         };
     }
 
+    /// Takes in that the balancer stood still: what it saw before tells nothing,
+    /// and what was sent before counts as answered.
+    pub fn forget_evidence(&mut self, now: Duration) {
+        self.progress(now);
+    }
+
     /// Whether new flows go elsewhere if possible. After a pause one flow may
     /// try again, and its silence pauses the target for longer.
     pub fn avoided(&mut self, now: Duration, cfg: &HealthConfig) -> bool {
@@ -163,12 +180,18 @@
         before != Belief::Silent
     }
 
-    /// Whether the target's flows are better ended.
-    pub fn is_silent(&self, now: Duration, cfg: &HealthConfig) -> bool {
+    /// Whether the target's flows are better ended, by its probes.
+    pub fn is_silent(&self) -> bool {
+        self.belief == Belief::Silent
+    }
+
+    /// Whether a flow whose data was just repeated is better ended, whatever the
+    /// probes say.
+    pub fn seems_silent(&self, now: Duration, cfg: &HealthConfig) -> bool {
         let waits = self
             .unanswered_since
             .is_some_and(|s| now >= s + cfg.silence);
-        self.belief == Belief::Silent || (waits && self.repeats >= cfg.silent_repeats)
+        waits && self.repeats >= cfg.silent_repeats
     }
 
     /// Doubts in a row.
@@ -178,6 +201,19 @@
 
     fn has_evidence(&self, now: Duration, cfg: &HealthConfig) -> bool {
         let late = self.syn_since.is_some_and(|s| now > s + cfg.syn_grace);
-        late || self.unanswered_since.is_some()
+        let repeated = self
+            .last_repeat
+            .is_some_and(|at| now < at + cfg.evidence_age);
+        late || repeated
+    }
+
+    fn drop_old_evidence(&mut self, now: Duration, cfg: &HealthConfig) {
+        if self
+            .last_repeat
+            .is_some_and(|at| now >= at + cfg.evidence_age)
+        {
+            self.unanswered_since = None;
+            self.repeats = 0;
+        }
     }
 }
--- a/crates/daemon/src/cookie/follower.rs
+++ b/crates/daemon/src/cookie/follower.rs
@@ -9,11 +9,12 @@
 };
 use sequoiatrail_events::Event;
 use sequoiatrail_platform::{
-    BackoffConfig, Client, Error, Follow, FollowConfig, Method, Reply, Result, Revision, Step,
+    BackoffConfig, Error, Follow, FollowConfig, Method, Reply, Result, Revision, Step,
 };
 
 use super::changes::{apply_manifest, log_news, target_change};
 use super::shared::Shared;
+use crate::counters::{Count, Counters};
 
 /// Time without trouble after which an entry that vanishes is really gone:
 /// entries that lapse while the store is away may come back.
@@ -25,16 +26,19 @@
     first: Duration::from_millis(300),
     cap: Duration::from_millis(1_000),
 };
-/// Mean time from a change to the next watch, so that changes in a row come
-/// together; well below the bounds for manifests and leaving targets.
-const SETTLE: Duration = Duration::from_millis(400);
+/// Mean time from a change of the manifest to the next watch, so that changes in
+/// a row come together; far below the bound for manifests.
+const SETTLE_MANIFEST: Duration = Duration::from_millis(400);
+/// The same for targets, which change more often; a leaving target serves on for
+/// longer.
+const SETTLE_TARGETS: Duration = Duration::from_millis(800);
 /// Time over which balancers spread out that must list again.
 const RESYNC_SPREAD: Duration = Duration::from_millis(200);
 
 /// Follows one kind of object.
 pub(super) struct Follower {
     shared: Arc<Shared>,
-    client: Arc<Client>,
+    counters: Arc<Counters>,
     kind: Kind,
     follow: Follow,
     /// When the store last failed to answer.
@@ -45,18 +49,21 @@
 }
 
 impl Follower {
-    pub fn new(shared: Arc<Shared>, client: Arc<Client>, kind: Kind, watch_wait: Duration) -> Self {
+    pub fn new(shared: Arc<Shared>, kind: Kind, watch_wait: Duration) -> Self {
         let cfg = FollowConfig {
             watch_wait,
-            settle: SETTLE,
+            settle: match kind {
+                Kind::Targets => SETTLE_TARGETS,
+                Kind::Manifest | Kind::Balancers => SETTLE_MANIFEST,
+            },
             resync_spread: RESYNC_SPREAD,
             backoff: BACKOFF,
             ..FollowConfig::default()
         };
         Follower {
             pauses: shared.pauses(),
+            counters: shared.counters.for_thread(),
             shared,
-            client,
             kind,
             follow: Follow::new(cfg, rand::random()),
             last_trouble: None,
@@ -97,6 +104,7 @@
         let mut after = None;
         let mut first_revision = None;
         loop {
+            self.counters.add(Count::StoreLists, 1);
             let path = list_path(self.kind, after.as_deref());
             let page = decode_list(&self.get(&path, Duration::ZERO)?)?;
             // Later pages may show later changes; a watch from the first page's
@@ -115,6 +123,7 @@
     }
 
     fn watch(&mut self, after: Revision) -> Result<Revision> {
+        self.counters.add(Count::StoreWatches, 1);
         let wait = self.follow.config().watch_wait;
         let reply = self.get(&watch_path(self.kind, after, wait, true), wait)?;
         let page = decode_watch(&reply)?;
@@ -129,8 +138,9 @@
     }
 
     fn get(&self, path: &str, wait: Duration) -> Result<Reply> {
-        let timeout = wait + self.client.config().call_timeout;
-        let reply = self.client.exchange(Method::GET, path, &[], timeout)?;
+        let client = self.shared.store();
+        let timeout = wait + client.config().call_timeout;
+        let reply = client.exchange(Method::GET, path, &[], timeout)?;
         check_status(&reply)?;
         Ok(reply)
     }
@@ -193,6 +203,7 @@
     }
 
     fn failed(&mut self, error: &Error) {
+        self.counters.add(Count::StoreFailures, 1);
         let now = self.shared.clock.now();
         self.last_trouble = Some(now);
         self.follow.failed(now, error);
--- a/crates/daemon/src/cookie/outlet.rs
+++ b/crates/daemon/src/cookie/outlet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use sequoiatrail_adapter::encode_reset;
-use sequoiatrail_cookie::{Effects, FlowId, ResetReason, Suspicion};
+use sequoiatrail_cookie::{Effects, FlowId, PlaceReason, ResetReason, Suspicion, TargetId};
 use sequoiatrail_events::Event;
 
 use super::prober::Prober;
@@ -57,7 +57,7 @@
     pub fn reset(&self, now: Duration, flow: &FlowId, acked: u32, reason: ResetReason) {
         let to = SocketAddrV4::new(*flow.caller.ip(), self.caller_port);
         self.send(now, &encode_reset(flow, acked), to);
-        self.log_decision(now, flow, "reset", reason.into(), String::new());
+        self.log_reset(now, flow, reason);
     }
 
     /// Sends a datagram; a failure is counted and logged.
@@ -75,18 +75,29 @@
         }
     }
 
-    /// Logs a decision on a flow, up to the limit of lines.
-    pub fn log_decision(
+    /// Logs that a flow was sent to a target, up to the limit of lines.
+    pub fn log_placed(&self, now: Duration, flow: &FlowId, target: TargetId, reason: PlaceReason) {
+        if let Some(skipped) = self.shared.lines.placements.admit(now) {
+            let target = target.to_string();
+            self.log_decision(now, flow, "forward", reason.into(), target, skipped);
+        }
+    }
+
+    fn log_reset(&self, now: Duration, flow: &FlowId, reason: ResetReason) {
+        if let Some(skipped) = self.shared.lines.resets.admit(now) {
+            self.log_decision(now, flow, "reset", reason.into(), String::new(), skipped);
+        }
+    }
+
+    fn log_decision(
         &self,
         now: Duration,
         flow: &FlowId,
         outcome: &'static str,
         reason: &'static str,
         target: String,
+        skipped: u64,
     ) {
-        let Some(skipped) = self.shared.lines.decisions.admit(now) else {
-            return;
-        };
         let (manifest, revision) = {
             let balancer = self.shared.lock();
             (balancer.routes().version(), balancer.directory().revision())
--- a/crates/daemon/src/cookie/packets.rs
+++ b/crates/daemon/src/cookie/packets.rs
@@ -19,6 +19,9 @@
 
 /// Largest datagram that is read; packets are much smaller.
 const MAX_DATAGRAM_BYTES: usize = 4_096;
+/// Time between two turns of the loop from which the thread stood still; it
+/// waits for packets for a tenth of it, and a throttled VM stops for a fifth.
+const PAUSE: Duration = Duration::from_millis(500);
 /// Time between two sweeps of what is remembered.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 
@@ -32,6 +35,8 @@
     outlet: Arc<Outlet>,
     counters: Arc<Counters>,
     swept: Duration,
+    /// When the last turn of the loop began.
+    turned: Duration,
 }
 
 impl Packets {
@@ -40,6 +45,7 @@
             outlet,
             counters: shared.counters.for_thread(),
             swept: shared.clock.now(),
+            turned: shared.clock.now(),
             shared,
             socket,
         }
@@ -49,6 +55,7 @@
     pub fn run(mut self) -> io::Result<()> {
         let mut buf = [0; PREFIX_BYTES + MAX_DATAGRAM_BYTES];
         while !self.shared.has_ended() {
+            self.look_for_pause();
             match self.socket.recv_from(&mut buf[PREFIX_BYTES..]) {
                 Ok((length, from)) => self.handle(&mut buf[..PREFIX_BYTES + length], from),
                 Err(e) if is_transient(&e) => {}
@@ -59,6 +66,15 @@
         Ok(())
     }
 
+    /// Notices that this thread did not run for a while.
+    fn look_for_pause(&mut self) {
+        let now = self.shared.clock.now();
+        let before = std::mem::replace(&mut self.turned, now);
+        if now > before + PAUSE {
+            self.shared.lock().forget_evidence(now);
+        }
+    }
+
     /// Handles a packet, in front of which there is room for the prefix.
     fn handle(&self, buf: &mut [u8], from: SocketAddr) {
         let now = self.shared.clock.now();
@@ -106,8 +122,7 @@
         };
         self.counters.add(count, 1);
         if !known {
-            self.outlet
-                .log_decision(now, &seg.flow, "forward", reason.into(), target.to_string());
+            self.outlet.log_placed(now, &seg.flow, target, reason);
         }
     }
 
--- a/crates/daemon/src/cookie/reload.rs
+++ b/crates/daemon/src/cookie/reload.rs
@@ -7,6 +7,7 @@
 use sequoiatrail_settings::{Settings, load};
 
 use super::shared::Shared;
+use super::start::config;
 
 /// Time between two looks at the file, which may change without a signal.
 const LOOK_EVERY: Duration = Duration::from_secs(2);
@@ -58,26 +59,65 @@
             let file = self.file.display().to_string();
             shared.log.emit(Event::UnknownSetting { file, key });
         }
-        let pending = changed_sections(&self.in_force, &loaded.settings);
+        let change = Change::between(&self.in_force, &loaded.settings);
+        if change.platform {
+            shared.use_store(&loaded.settings.platform);
+        }
+        if change.decisions {
+            shared.lock().configure(config(&loaded.settings));
+        }
         shared.log.emit(Event::SettingsReloaded {
-            applied: String::new(),
-            pending: pending.join(" "),
+            applied: change.applied().join(" "),
+            pending: change.pending.join(" "),
         });
+        self.in_force = loaded.settings;
     }
 }
 
-fn modified(file: &PathBuf) -> Option<SystemTime> {
-    std::fs::metadata(file).and_then(|m| m.modified()).ok()
+/// What differs between two settings.
+struct Change {
+    /// The store is elsewhere; it is asked there from the next call on.
+    platform: bool,
+    /// Settings of the decisions.
+    decisions: bool,
+    /// Sections with keys that need a restart.
+    pending: Vec<&'static str>,
+}
+
+impl Change {
+    fn between(old: &Settings, new: &Settings) -> Change {
+        let (a, b) = (&old.cookie, &new.cookie);
+        let decisions = a.failure_domain != b.failure_domain
+            || a.flow_max_age_s != b.flow_max_age_s
+            || old.data.max_flows != new.data.max_flows;
+        let sockets = a.http_listen != b.http_listen
+            || a.readiness_path != b.readiness_path
+            || a.caller_port != b.caller_port;
+        let timing = a.stop_grace_s != b.stop_grace_s || a.watch_wait_ms != b.watch_wait_ms;
+        let sections = [
+            ("node", old.node != new.node),
+            (
+                "data",
+                old.data.listen != new.data.listen || old.data.format != new.data.format,
+            ),
+            ("cookie", sockets || timing),
+            ("log", old.log != new.log),
+        ];
+        let pending = sections.into_iter().filter(|(_, changed)| *changed);
+        Change {
+            platform: old.platform != new.platform,
+            decisions,
+            pending: pending.map(|(name, _)| name).collect(),
+        }
+    }
+
+    fn applied(&self) -> Vec<&'static str> {
+        let applied = [("platform", self.platform), ("cookie", self.decisions)];
+        let applied = applied.into_iter().filter(|(_, changed)| *changed);
+        applied.map(|(name, _)| name).collect()
+    }
 }
 
-fn changed_sections(old: &Settings, new: &Settings) -> Vec<&'static str> {
-    let sections = [
-        ("node", old.node != new.node),
-        ("data", old.data != new.data),
-        ("cookie", old.cookie != new.cookie),
-        ("platform", old.platform != new.platform),
-        ("log", old.log != new.log),
-    ];
-    let changed = sections.into_iter().filter(|(_, changed)| *changed);
-    changed.map(|(name, _)| name).collect()
+fn modified(file: &PathBuf) -> Option<SystemTime> {
+    std::fs::metadata(file).and_then(|m| m.modified()).ok()
 }
--- a/crates/daemon/src/cookie/shared.rs
+++ b/crates/daemon/src/cookie/shared.rs
@@ -1,5 +1,6 @@
 //! What all threads of a balancer share.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime};
@@ -7,23 +8,30 @@
 use opentelemetry::metrics::Histogram;
 use sequoiatrail_cookie::Balancer;
 use sequoiatrail_events::{Event, Log, RateLimit};
+use sequoiatrail_platform::{Client, ClientConfig};
+use sequoiatrail_settings::PlatformSettings;
 use sequoiatrail_types::Clock;
 
 use crate::counters::CounterSet;
 
-/// Lines a second about decisions on flows.
-const DECISION_LINES_PER_SECOND: u32 = 20;
+/// Lines a second about new flows, and as many about resets.
+const DECISION_LINES_PER_SECOND: u32 = 100;
 /// Lines a second for each kind of event that a hostile sender can cause.
 const HOSTILE_LINES_PER_SECOND: u32 = 5;
 /// Time between two looks from which the process counts as having stood still.
 const PAUSE: Duration = Duration::from_millis(1_500);
 
+/// Longest time of a call to the store, without the wait of a watch.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest time to make a connection to the store.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Why packets are asked for.
 const READY: &str = "manifest and targets are known";
 
 /// Limits of log lines.
 pub(super) struct Lines {
-    pub decisions: RateLimit,
+    pub placements: RateLimit,
+    pub resets: RateLimit,
     pub unreadable: RateLimit,
     pub failed_sends: RateLimit,
 }
@@ -31,13 +39,25 @@
 impl Default for Lines {
     fn default() -> Self {
         Self {
-            decisions: RateLimit::new(DECISION_LINES_PER_SECOND),
+            placements: RateLimit::new(DECISION_LINES_PER_SECOND),
+            resets: RateLimit::new(DECISION_LINES_PER_SECOND),
             unreadable: RateLimit::new(HOSTILE_LINES_PER_SECOND),
             failed_sends: RateLimit::new(HOSTILE_LINES_PER_SECOND),
         }
     }
 }
 
+fn client(clock: &Arc<dyn Clock>, endpoint: Option<SocketAddr>) -> Arc<Client> {
+    let default = ClientConfig::default();
+    Arc::new(Client::new(ClientConfig {
+        endpoint: endpoint.unwrap_or(default.endpoint),
+        connect_timeout: CONNECT_TIMEOUT,
+        call_timeout: CALL_TIMEOUT,
+        clock: Arc::clone(clock),
+        ..default
+    }))
+}
+
 /// State of one process.
 pub(super) struct Shared {
     pub balancer: Mutex<Balancer>,
@@ -45,6 +65,8 @@
     pub log: Log,
     pub counters: Arc<CounterSet>,
     pub lines: Lines,
+    /// The client of the store; replaced when the settings change.
+    store: Mutex<Arc<Client>>,
     /// Times of handling packets; set once the metrics are served.
     pub handling: OnceLock<Histogram<f64>>,
     /// Set by the first stop signal.
@@ -68,8 +90,10 @@
 
 impl Shared {
     pub fn new(balancer: Balancer, clock: Arc<dyn Clock>, log: Log) -> Shared {
+        let store = client(&clock, None);
         Shared {
             balancer: Mutex::new(balancer),
+            store: Mutex::new(store),
             clock,
             log,
             counters: Arc::default(),
@@ -88,6 +112,22 @@
         self.balancer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The client of the store.
+    pub fn store(&self) -> Arc<Client> {
+        let store = self.store.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&store)
+    }
+
+    /// Uses another store from the next call on. Its revisions are not those of
+    /// the one before, so that its next list counts whatever it shows.
+    pub fn use_store(&self, settings: &PlatformSettings) {
+        let mut store = self.store.lock().unwrap_or_else(PoisonError::into_inner);
+        *store = client(&self.clock, settings.endpoint);
+        drop(store);
+        self.lock().forget_revision();
+        self.pauses.fetch_add(1, Ordering::AcqRel);
+    }
+
     /// Whether the routers should send packets here.
     pub fn is_ready(&self) -> bool {
         let reason = self.readiness();
@@ -103,12 +143,11 @@
         if self.stopping.load(Ordering::Acquire) {
             return "stopping";
         }
-        let now = self.clock.now();
         let balancer = self.lock();
         if !balancer.is_ready() {
             return "manifest or targets are not known";
         }
-        if balancer.is_isolated(now) {
+        if balancer.is_isolated() {
             return "no target can be reached";
         }
         READY
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -42,6 +42,12 @@
     DroppedOther,
     /// Packets dropped because their cookie names no target that is known here.
     DroppedUnknownTarget,
+    /// Calls to the store that list objects, a call for each page.
+    StoreLists,
+    /// Calls to the store that wait for changes.
+    StoreWatches,
+    /// Calls to the store that gave no result.
+    StoreFailures,
     /// Datagrams that could not be sent.
     SendFailed,
 }
