--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 mod faults;
 mod flows;
 mod gossip;
+mod links;
 mod measure;
 mod packets;
 mod platform;
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -5,17 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use sequoiatrail_core::{Action, Event, Via};
+use sequoiatrail_core::{Event, Via};
 use sequoiatrail_packet::Packet;
 use sequoiatrail_plan::Plan;
 use sequoiatrail_table::Table;
 use sequoiatrail_types::{NodeId, PlanVersion, ServiceId, TargetId};
-use sequoiatrail_wire::message::{
-    Body, Datagram, FlowMessage, Membership, RelayHeader, TargetMessage,
-};
-use sequoiatrail_wire::{Key, encode};
+use sequoiatrail_wire::Key;
+use sequoiatrail_wire::message::{FlowMessage, Membership, RelayHeader, TargetMessage};
 
 use crate::Result;
 use crate::balancer::{Balancer, Life, control_address};
@@ -26,7 +24,7 @@
 use crate::schedule::Schedule;
 
 /// Bytes of IPv4 and UDP headers around a message.
-const HEADER_BYTES: u64 = 28;
+pub(crate) const HEADER_BYTES: u64 = 28;
 /// Time between two ticks of a core.
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two ticks of a failure detector.
@@ -124,7 +122,7 @@
     /// Address of each service.
     pub addresses: Vec<SocketAddr>,
     pub spread: Vec<Spread>,
-    key: Key,
+    pub key: Key,
     pub options: RunOptions,
     /// Versions last seen on each balancer, to notice one that falls.
     pub last_versions: Vec<BTreeMap<ServiceId, PlanVersion>>,
@@ -350,63 +348,4 @@
             .filter_map(|s| Some((s.id, core.plan_version(s.id)?)))
             .collect()
     }
-
-    /// Carries out what a core asks for.
-    pub fn act(&mut self, from: usize, actions: Vec<Action>) {
-        for action in actions {
-            match action {
-                Action::Send { to, message } => self.post(from, to, message),
-                Action::Prepared { service, plan } => {
-                    let membership = &mut self.balancers[from].membership;
-                    membership.set_prepared(service, plan);
-                }
-            }
-        }
-    }
-
-    fn post(&mut self, from: usize, to: NodeId, message: FlowMessage) {
-        let kind: &'static str = match &message {
-            FlowMessage::Relay(..) => "relay",
-            FlowMessage::Placed { .. } => "placed",
-            FlowMessage::Offer(_) => "offer",
-            FlowMessage::Report(_) => "report",
-            FlowMessage::Settled(_) => "settled",
-            FlowMessage::Gathered(_) => "gathered",
-            FlowMessage::Missing(_) => "missing",
-        };
-        let bytes = self.bytes_of(from, Body::Flow(message.clone()));
-        self.meter.control(from, kind, bytes);
-        let Some(to) = self.balancers.iter().position(|b| b.node == to) else {
-            return;
-        };
-        if self.is_lost() {
-            return;
-        }
-        let from = self.balancers[from].node;
-        let happening = Happening::Message { to, from, message };
-        self.queue.push(self.now + self.latency(), happening);
-    }
-
-    pub fn is_lost(&mut self) -> bool {
-        self.rng.random_range(0..1_000) < self.schedule.loss_permille
-    }
-
-    pub fn latency(&self) -> Duration {
-        Duration::from_micros(self.schedule.latency_us)
-    }
-
-    /// A random time shorter than `limit`.
-    pub fn random_below(&mut self, limit: Duration) -> Duration {
-        limit.mul_f64(self.rng.random_range(0.0..1.0))
-    }
-
-    /// Bytes on the wire of a message, headers included.
-    pub fn bytes_of(&self, from: usize, body: Body) -> u64 {
-        let datagram = Datagram {
-            from: self.balancers[from].node,
-            serial: 1,
-            body,
-        };
-        encode(&datagram, &self.key).len() as u64 + HEADER_BYTES
-    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,12 +9,15 @@
 mod api;
 mod config;
 mod core;
+mod counting;
 mod decide;
+mod decide_unknown;
 mod explain;
 mod flow_set;
 mod flow_table;
 mod handover;
 mod join;
+mod known_flows;
 mod limits;
 mod map;
 mod outbox;
--- a/crates/core/src/settle.rs
+++ b/crates/core/src/settle.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use hashbrown::HashMap;
-use sequoiatrail_types::{FlowHash, NodeId, ServiceId, TargetId};
-use sequoiatrail_wire::message::{FlowMessage, FlowSet, Flows, Missing, SetKind};
+use sequoiatrail_types::{NodeId, ServiceId};
+use sequoiatrail_wire::message::{FlowMessage, FlowSet, Missing, SetKind};
 
 use crate::core::{Control, Core};
 use crate::flow_set::{Form, NO_ROUND, SenderFlows, SetKey, SettledFlows, pack};
@@ -296,39 +296,6 @@
         control.rounds.get_mut(&key.service)
     }
 
-    /// Records the flows of a report that are not known here.
-    fn learn(&self, now: Duration, set: &FlowSet) {
-        let view = self.view.load();
-        let Flows::Hashes(hashes) = &set.flows else {
-            return;
-        };
-        if view.target(set.service, set.target).is_none() {
-            return;
-        }
-        for flow in hashes {
-            self.learn_flow(now, &view, set.service, *flow, set.target);
-        }
-    }
-
-    /// Records a flow that another balancer knows, unless it is known here.
-    pub(crate) fn learn_flow(
-        &self,
-        now: Duration,
-        view: &View,
-        service: ServiceId,
-        flow: FlowHash,
-        target: TargetId,
-    ) {
-        let mut shard = self.flows.shard(flow);
-        let known = shard.get(&flow).is_some_and(|e| e.is_of(service));
-        if known || !self.make_room(view, &mut shard) {
-            return;
-        }
-        let mut entry = FlowEntry::new(now, service, target);
-        entry.set(flag::UNCOUNTED, self.is_owner(view, flow));
-        shard.insert(flow, entry);
-    }
-
     fn send_to_all(
         &self,
         view: &View,
@@ -347,48 +314,6 @@
         round.remember(kind, None, sets);
     }
 
-    /// Whether this balancer owns the flow.
-    pub(crate) fn is_owner(&self, view: &View, flow: FlowHash) -> bool {
-        view.owners.owner(flow).is_none_or(|node| node == self.node)
-    }
-
-    /// Calls `f` for each open flow of a service that is not on its plan's target.
-    pub(crate) fn each_off_plan(
-        &self,
-        view: &View,
-        id: ServiceId,
-        mut f: impl FnMut(FlowHash, &mut FlowEntry),
-    ) {
-        let Some(service) = view.services.get(&id) else {
-            return;
-        };
-        self.each_open_flow(view, id, |flow, entry| {
-            if entry.target != service.planned(flow) {
-                f(flow, entry);
-            }
-        });
-    }
-
-    /// Calls `f` with each flow of a service that has not ended.
-    pub(crate) fn each_open_flow(
-        &self,
-        view: &View,
-        id: ServiceId,
-        mut f: impl FnMut(FlowHash, &mut FlowEntry),
-    ) {
-        for index in 0..self.flows.shards() {
-            let mut shard = self.flows.shard_at(index);
-            for (flow, entry) in shard.iter_mut() {
-                let open = entry.is_of(id)
-                    && !entry.has(flag::CLOSED)
-                    && view.target(id, entry.target).is_some();
-                if open {
-                    f(*flow, entry);
-                }
-            }
-        }
-    }
-
     fn change_service(&self, id: ServiceId, f: impl FnOnce(&mut ServiceView)) {
         self.change(|view| {
             if let Some(service) = view.services.get_mut(&id) {
