--- a/crates/cookie/src/health.rs
+++ b/crates/cookie/src/health.rs
@@ -28,8 +28,10 @@
     pub least_resend: Duration,
     /// Time for which a repeated packet counts as evidence.
     pub evidence_age: Duration,
-    /// Least time between two probes of a target.
+    /// Least time between two probes of a target; doubles while it stays silent.
     pub probe_every: Duration,
+    /// Longest such time.
+    pub longest_probe_every: Duration,
     /// Time without any answer after which a target is silent whatever its
     /// probes say: another process may have taken over its address. Above the
     /// time of the slowest request behind a full queue at a cold target.
@@ -47,6 +49,7 @@
             least_resend: Duration::from_millis(150),
             evidence_age: Duration::from_secs(2),
             probe_every: Duration::from_millis(500),
+            longest_probe_every: Duration::from_secs(2),
             silence: Duration::from_millis(1_200),
             silent_repeats: 4,
         }
@@ -84,6 +87,8 @@
     doubts: u32,
     /// When the last probe was asked for.
     probe_asked: Option<Duration>,
+    /// Probes in a row that failed.
+    failed_probes: u32,
 }
 
 impl Health {
@@ -139,9 +144,11 @@
     /// Whether a probe is to be made now; asking counts as making it. A silent
     /// target is probed again and again, until it answers.
     pub fn take_probe(&mut self, now: Duration, cfg: &HealthConfig) -> bool {
-        let recent = self
-            .probe_asked
-            .is_some_and(|at| now < at + cfg.probe_every);
+        let every = cfg
+            .probe_every
+            .saturating_mul(1 << self.failed_probes.min(8));
+        let every = every.min(cfg.longest_probe_every);
+        let recent = self.probe_asked.is_some_and(|at| now < at + every);
         let wanted = self.belief == Belief::Silent || self.has_evidence(now, cfg);
         if recent || !wanted {
             return false;
@@ -169,6 +176,7 @@
     pub fn probed(&mut self, asked: Duration, answered: bool) -> bool {
         let before = self.belief;
         if answered {
+            self.failed_probes = 0;
             self.belief = Belief::Answers;
             self.syn_since = None;
             return false;
@@ -176,6 +184,7 @@
         if self.last_progress >= asked {
             return false;
         }
+        self.failed_probes = self.failed_probes.saturating_add(1);
         self.belief = Belief::Silent;
         before != Belief::Silent
     }
--- a/crates/daemon/src/cookie/follower.rs
+++ b/crates/daemon/src/cookie/follower.rs
@@ -32,6 +32,8 @@
 /// The same for targets, which change more often; a leaving target serves on for
 /// longer.
 const SETTLE_TARGETS: Duration = Duration::from_millis(800);
+/// Longest time of a list, which a slow store may need.
+const LIST_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time over which balancers spread out that must list again.
 const RESYNC_SPREAD: Duration = Duration::from_millis(200);
 
@@ -106,7 +108,7 @@
         loop {
             self.counters.add(Count::StoreLists, 1);
             let path = list_path(self.kind, after.as_deref());
-            let page = decode_list(&self.get(&path, Duration::ZERO)?)?;
+            let page = decode_list(&self.get(&path, LIST_TIMEOUT)?)?;
             // Later pages may show later changes; a watch from the first page's
             // revision tells them again.
             let revision = *first_revision.get_or_insert(page.revision);
@@ -125,7 +127,9 @@
     fn watch(&mut self, after: Revision) -> Result<Revision> {
         self.counters.add(Count::StoreWatches, 1);
         let wait = self.follow.config().watch_wait;
-        let reply = self.get(&watch_path(self.kind, after, wait, true), wait)?;
+        let limit = wait + self.shared.store().config().call_timeout;
+        let path = watch_path(self.kind, after, wait, true);
+        let reply = self.get(&path, limit)?;
         let page = decode_watch(&reply)?;
         self.log_unreadable(page.unreadable);
         // A stale answer may show an older revision than was asked for.
@@ -137,10 +141,9 @@
         Ok(revision)
     }
 
-    fn get(&self, path: &str, wait: Duration) -> Result<Reply> {
+    fn get(&self, path: &str, limit: Duration) -> Result<Reply> {
         let client = self.shared.store();
-        let timeout = wait + client.config().call_timeout;
-        let reply = client.exchange(Method::GET, path, &[], timeout)?;
+        let reply = client.exchange(Method::GET, path, &[], limit)?;
         check_status(&reply)?;
         Ok(reply)
     }
--- a/crates/daemon/tests/cookie_path.rs
+++ b/crates/daemon/tests/cookie_path.rs
@@ -128,6 +128,18 @@
     assert_eq!(platform.ask(address(APP)), answered("app"));
 }
 
+#[test]
+fn a_store_that_is_slow_is_waited_for() {
+    let mut platform = Platform::start();
+    platform.put_manifest(3, &routes());
+    let _app = platform.target(0x11, "app");
+    let slow = Duration::from_millis(1_300);
+    platform.store.set_fault(Fault::Slow(slow));
+    let _balancer = platform.balancer();
+    platform.wait_ready(1);
+    assert_eq!(platform.ask(address(APP)), answered("app"));
+}
+
 #[test]
 fn a_list_of_many_pages_is_taken_whole() {
     let platform = Platform::start();
