perf: followers of the store start before the HTTP server

Cause: after a loss of power nothing is served until the store has answered, and readiness was set up first. Change: the followers start first of all.

--- a/crates/daemon/src/cookie/start.rs
+++ b/crates/daemon/src/cookie/start.rs
@@ -38,12 +38,11 @@
     let shared = Arc::new(Shared::new(balancer, clock, log));
     shared.use_store(&settings.platform);
     let cookie = &settings.cookie;
-    let server = http::start(&shared, cookie.http_listen, &cookie.readiness_path)?;
     let mut daemon = CookieDaemon {
         shared: Arc::clone(&shared),
         threads: Vec::new(),
         failure: Arc::default(),
-        http: Some(server),
+        http: None,
         listen,
         stop_grace: Duration::from_secs_f64(cookie.stop_grace_s),
         reloader: Reloader::new(file, settings.clone()),
@@ -61,9 +60,12 @@
         caller_port,
     ));
     let packets = Packets::new(Arc::clone(&shared), socket, Arc::clone(&outlet));
-    daemon.spawn("probe", move || prober.run(outlet, probes))?;
-    daemon.spawn("packets", move || packets.run())?;
+    // First of all, since nothing can be served before the store has answered.
     daemon.follow_store(&settings)?;
+    daemon.spawn("packets", move || packets.run())?;
+    daemon.spawn("probe", move || prober.run(outlet, probes))?;
+    let server = http::start(&shared, cookie.http_listen, &cookie.readiness_path)?;
+    daemon.http = Some(server);
     shared.log.emit(Event::Started {
         version: env!("CARGO_PKG_VERSION"),
         node: rand::random(),
