fix: late opening packets, lapsed draining targets and shared cookies; split by job

Cause, found by reading the decisions as a newcomer: (1) a late copy of the opening packet of an open flow was placed anew, so that a second target answered its caller; (2) so were opening packets that a pause had held up; (3) a draining target whose entry lapsed while the store was away was taken as gone, and its flows reset while it lives; (4) a target that goes and shares its cookie with another one took the other's flows along. Words of the wire that tests and soak used moved into the stand-ins, is_transient and the test runner stand once.

--- a/crates/cookie/src/decision.rs
+++ b/crates/cookie/src/decision.rs
@@ -48,6 +48,8 @@
     UnknownCookie,
     /// The packet has no cookie and its flow is not remembered.
     NoCookie,
+    /// An opening packet that was held up on its way; its caller has gone on.
+    HeldUp,
     /// A reset of a flow that has no target.
     PointlessReset,
 }
--- a/crates/cookie/src/directory.rs
+++ b/crates/cookie/src/directory.rs
@@ -205,6 +205,11 @@
         self.by_cookie.get(&cookie).copied()
     }
 
+    /// The place of a target.
+    pub(crate) fn key_of(&self, id: TargetId) -> Option<TargetKey> {
+        self.by_id.get(&id).copied()
+    }
+
     /// Targets of a service that may take new flows.
     pub fn of_service(&self, service: &str) -> &[TargetKey] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
@@ -269,7 +274,7 @@
         if target.is_gone() || (lapsed && !settled) {
             return None;
         }
-        if settled || target.entry.lifecycle == Lifecycle::Draining {
+        if settled {
             target.presence = Presence::Gone { since: now };
             return Some(TargetNews::Gone);
         }
--- a/crates/cookie/src/lib.rs
+++ b/crates/cookie/src/lib.rs
@@ -11,6 +11,7 @@
 mod attempts;
 mod balancer;
 mod config;
+mod decide;
 mod decision;
 mod directory;
 mod effects;
@@ -18,9 +19,11 @@
 mod health;
 mod load;
 mod manifest;
+mod observe;
 mod place;
 mod routes;
 mod segment;
+mod silence;
 mod target;
 mod unknown;
 
--- /dev/null
+++ b/crates/cookie/src/silence.rs
@@ -0,0 +1,111 @@
+//! Silent targets: doubts, probes, and the flows that end with them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::decision::ResetReason;
+use crate::directory::{Target, TargetNews};
+use crate::effects::Pending;
+use crate::{Balancer, Config, FlowReset, ProbeOrder, TargetId, TargetKey};
+
+/// Silent targets of a failure domain from which the whole of it is doubted.
+const SILENT_OF_DOMAIN: usize = 2;
+/// Time after a pause in which the packets that it held up are read.
+const HELD_UP: Duration = Duration::from_millis(20);
+
+impl Balancer {
+    /// Takes in whether something answered a probe. Returns whether the target
+    /// has become silent.
+    pub fn probed(&mut self, now: Duration, order: &ProbeOrder, answered: bool) -> bool {
+        let Some(key) = self.directory.key_of(order.target) else {
+            return false;
+        };
+        let Some(target) = self.directory.get_mut(key) else {
+            return false;
+        };
+        if !target.health.probed(order.asked, answered) {
+            return false;
+        }
+        let domain = Arc::clone(&target.entry.domain);
+        self.reset_flows_of(&[key], ResetReason::TargetSilent);
+        self.doubt_domain(now, &domain);
+        true
+    }
+
+    /// Asks for probes of all targets with flows here in a failure domain of
+    /// which several are silent: the domain may be cut off as a whole.
+    fn doubt_domain(&mut self, now: Duration, domain: &str) {
+        let in_domain = |t: &&mut Target| *t.entry.domain == *domain && !t.is_gone();
+        let silent = self.directory.iter_mut().filter(in_domain);
+        let silent = silent.filter(|t| t.health.is_silent()).count();
+        if silent < SILENT_OF_DOMAIN {
+            return;
+        }
+        for target in self.directory.iter_mut().filter(in_domain) {
+            if target.load.flows > 0 && target.health.ask_probe(now) {
+                self.pending.probes.push(order(target, now));
+            }
+        }
+    }
+
+    /// Takes in that the process stood still: packets that came meanwhile are
+    /// only seen now. They tell nothing about targets, and their callers have
+    /// long gone on from those that open flows.
+    pub fn forget_evidence(&mut self, now: Duration) {
+        self.held_up_until = now + HELD_UP;
+        for target in self.directory.iter_mut() {
+            target.health.forget_evidence(now);
+        }
+    }
+
+    /// Ends the flows of targets that hold none any more.
+    pub(crate) fn end_flows_of(&mut self, news: &[(TargetId, TargetNews)]) {
+        let lost = |news: &TargetNews| matches!(news, TargetNews::Gone | TargetNews::Reborn);
+        let lost = news.iter().filter(|(_, news)| lost(news));
+        let keys: Vec<TargetKey> = lost
+            .filter_map(|(id, _)| self.directory.key_of(*id))
+            .collect();
+        if !keys.is_empty() {
+            self.reset_flows_of(&keys, ResetReason::TargetGone);
+        }
+    }
+
+    /// Resets the flows of targets before their callers use them again: what is
+    /// sent on a flow after its target fell silent is lost, and a request that
+    /// must not run twice could not be tried again. A flow with such a request
+    /// under way stays while the target may still answer it.
+    fn reset_flows_of(&mut self, keys: &[TargetKey], reason: ResetReason) {
+        let routes = &self.routes;
+        let may_answer = reason == ResetReason::TargetSilent;
+        let ended = self.flows.take_ended(|id, flow| {
+            let idempotent = routes.get(id.route).is_some_and(|r| r.idempotent);
+            let waits = may_answer && flow.busy && !idempotent;
+            keys.contains(&flow.target) && !waits
+        });
+        for (flow, state) in ended {
+            self.unload(state);
+            let acked = state.acked;
+            let reset = FlowReset {
+                flow,
+                acked,
+                reason,
+            };
+            self.pending.resets.push_back(reset);
+        }
+    }
+}
+
+fn order(target: &Target, now: Duration) -> ProbeOrder {
+    ProbeOrder {
+        target: target.entry.id,
+        address: target.entry.address,
+        asked: now,
+    }
+}
+
+/// Asks for a probe of a target if packets raise a doubt.
+pub(crate) fn doubt(cfg: &Config, pending: &mut Pending, now: Duration, target: &mut Target) {
+    if target.health.take_probe(now, &cfg.health) {
+        pending.probes.push(order(target, now));
+    }
+}
--- a/crates/cookie/tests/flows_follow_their_cookie.rs
+++ b/crates/cookie/tests/flows_follow_their_cookie.rs
@@ -303,3 +303,59 @@
     let seg = data(1, REPEATABLE, target.cookie(), 5, 9);
     assert_eq!(forwarded(second.decide(seg)).0, target);
 }
+
+#[test]
+fn a_late_copy_of_the_opening_packet_of_an_open_flow_goes_nowhere() {
+    let mut world = World::new(8, 0);
+    for caller in 1..20 {
+        world.open(caller, REPEATABLE);
+        world.pass(ms(400));
+        let late = world.decide(syn(caller, REPEATABLE, 1));
+        assert_eq!(late, Decision::Drop(DropReason::HeldUp));
+    }
+}
+
+#[test]
+fn opening_packets_that_a_pause_held_up_go_nowhere() {
+    let mut world = World::new(2, 0);
+    world.pass(ms(4_000));
+    world.balancer.forget_evidence(world.now);
+    let held_up = world.decide(syn(1, REPEATABLE, 0));
+    assert_eq!(held_up, Decision::Drop(DropReason::HeldUp));
+    let target = TargetId(1);
+    let seg = data(2, REPEATABLE, target.cookie(), 5, 9);
+    assert_eq!(forwarded(world.decide(seg)).0, target, "data is not lost");
+    world.pass(ms(30));
+    forwarded(world.decide(syn(1, REPEATABLE, 1)));
+}
+
+#[test]
+fn a_draining_target_whose_entry_lapses_keeps_its_flows_for_a_while() {
+    let mut world = World::new(2, 0);
+    let target = world.open(1, REPEATABLE);
+    let draining = TargetEntry {
+        lifecycle: Lifecycle::Draining,
+        ..entry(target.0, "a")
+    };
+    world.change(vec![TargetChange::Present(draining)], true);
+    let news = world.change(vec![TargetChange::Gone(target)], false);
+    assert_eq!(news, [(target, TargetNews::Lapsed)]);
+    assert_eq!(world.effects().resets, []);
+}
+
+#[test]
+fn a_target_that_goes_takes_only_its_own_flows_and_not_those_of_its_cookies_owner() {
+    let low = TargetId(0x0000_0001_0000_0005);
+    let high = TargetId(0x0000_0004_0000_0000);
+    let mut world = World::new(0, 0);
+    for id in [low, high] {
+        let entry = TargetEntry {
+            id,
+            ..entry(1, "a")
+        };
+        world.change(vec![TargetChange::Present(entry)], true);
+    }
+    world.open(1, REPEATABLE);
+    world.change(vec![TargetChange::Gone(high)], true);
+    assert_eq!(world.effects().resets, []);
+}
--- a/crates/daemon/src/cookie/packets.rs
+++ b/crates/daemon/src/cookie/packets.rs
@@ -1,6 +1,6 @@
 //! The thread that receives packets and acts on the decisions.
 
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +16,7 @@
 use super::outlet::Outlet;
 use super::shared::Shared;
 use crate::counters::{Count, Counters};
+use crate::receive::is_transient;
 
 /// Largest datagram that is read; packets are much smaller.
 const MAX_DATAGRAM_BYTES: usize = 4_096;
@@ -173,13 +174,3 @@
         self.outlet.carry_out(now, effects);
     }
 }
-
-fn is_transient(e: &io::Error) -> bool {
-    matches!(
-        e.kind(),
-        ErrorKind::WouldBlock
-            | ErrorKind::TimedOut
-            | ErrorKind::Interrupted
-            | ErrorKind::ConnectionRefused
-    )
-}
--- a/crates/daemon/src/receive.rs
+++ b/crates/daemon/src/receive.rs
@@ -62,7 +62,8 @@
     Ok(())
 }
 
-fn is_transient(e: &io::Error) -> bool {
+/// Whether receiving can go on after an error.
+pub(crate) fn is_transient(e: &io::Error) -> bool {
     matches!(
         e.kind(),
         ErrorKind::WouldBlock
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -7,12 +7,11 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use sequoiatrail_cookie::TargetId;
+use sequoiatrail_cookie::{Lifecycle, TargetId};
 use sequoiatrail_daemon::cookie::CookieDaemon;
 use sequoiatrail_events::Log;
 use sequoiatrail_settings::{Format, Settings};
-use sequoiatrail_stand_in::{Callers, Outcome, Router, Runs, Store, Target};
-use serde_json::{Value, json};
+use sequoiatrail_stand_in::{Callers, Outcome, RouteSpec, Router, Runs, Store, Target};
 
 /// Longest wait for something that has to come true.
 pub const LIMIT: Duration = Duration::from_secs(20);
@@ -28,11 +27,13 @@
     }
 }
 
-pub fn route(number: u8, kind: &str, service: &str) -> Value {
-    json!({
-        "name": format!("r-{number}"), "host": format!("198.18.0.{number}"),
-        "path_prefix": "/8443/", "type": kind, "service": service,
-    })
+/// A route by its number, to a service whose requests may be sent again or not.
+pub fn route(number: u8, idempotent: bool, service: &str) -> RouteSpec {
+    RouteSpec {
+        address: address(number),
+        idempotent,
+        service: service.into(),
+    }
 }
 
 pub fn address(number: u8) -> SocketAddrV4 {
@@ -60,12 +61,8 @@
         }
     }
 
-    pub fn put_manifest(&self, version: u64, routes: &[Value]) {
-        let spec = json!({
-            "version": version, "routes": routes, "services": [],
-            "limits": { "idle_timeout_ms": 15_000 },
-        });
-        self.store.put("config", "main", spec);
+    pub fn put_manifest(&self, version: u64, routes: &[RouteSpec]) {
+        self.store.put_manifest(version, routes);
     }
 
     /// Starts a target and registers it.
@@ -73,8 +70,7 @@
         let place = (service, "a");
         let target =
             Target::start(TargetId(id), place, 0, self.callers.port(), &self.runs).unwrap();
-        self.store
-            .put("servers", &target.name(), target.entry("ready"));
+        self.store.put_target(&target, Lifecycle::Ready);
         target
     }
 
--- a/crates/daemon/tests/cookie_path.rs
+++ b/crates/daemon/tests/cookie_path.rs
@@ -6,16 +6,14 @@
 use std::time::Duration;
 
 use common::{BUDGET, Platform, address, answered, route, wait_for};
-use sequoiatrail_stand_in::{Fault, Outcome};
+use sequoiatrail_cookie::Lifecycle;
+use sequoiatrail_stand_in::{Fault, Outcome, RouteSpec};
 
 const APP: u8 = 1;
 const PORTAL: u8 = 2;
 
-fn routes() -> Vec<serde_json::Value> {
-    vec![
-        route(APP, "idempotent", "app"),
-        route(PORTAL, "non_idempotent", "portal"),
-    ]
+fn routes() -> Vec<RouteSpec> {
+    vec![route(APP, true, "app"), route(PORTAL, false, "portal")]
 }
 
 #[test]
@@ -50,8 +48,7 @@
     platform.wait_ready(2);
     ask_all(&mut platform);
     let _joining = platform.target(0x33, "app");
-    let entry = leaving.entry("draining");
-    platform.store.put("servers", &leaving.name(), entry);
+    platform.store.put_target(&leaving, Lifecycle::Draining);
     std::thread::sleep(Duration::from_millis(1_000));
     ask_all(&mut platform);
     for _ in 0..20 {
@@ -210,7 +207,7 @@
         ("not a target", serde_json::json!(null)),
         ("i-97", serde_json::json!({ "service": 7, "address": [] })),
     ] {
-        platform.store.put("servers", name, spec);
+        platform.store.put_strange_target(name, spec);
     }
     let _balancer = platform.balancer();
     platform.wait_ready(1);
--- a/crates/daemon/tests/cookie_settings.rs
+++ b/crates/daemon/tests/cookie_settings.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use common::{Platform, address, answered, route, wait_for};
+use sequoiatrail_cookie::Lifecycle;
 use sequoiatrail_daemon::cookie::CookieDaemon;
 use sequoiatrail_events::{Format, Log, LogConfig};
 use sequoiatrail_settings::load;
@@ -68,7 +69,7 @@
 #[test]
 fn a_signal_moves_the_balancer_to_another_store() {
     let mut platform = Platform::start();
-    platform.put_manifest(3, &[route(1, "idempotent", "app")]);
+    platform.put_manifest(3, &[route(1, true, "app")]);
     let target = platform.target(0x11, "app");
     let (mut daemon, file, lines) = start("moves.toml", &text(&platform, &platform.store, ""));
     platform
@@ -76,10 +77,8 @@
         .add(daemon.listen(), daemon.http_address().unwrap());
     platform.wait_ready(1);
     let other = Store::start().unwrap();
-    other.put("servers", &target.name(), target.entry("ready"));
-    let spec = serde_json::json!({ "version": 4, "services": [], "limits": {}, "routes":
-        [route(1, "idempotent", "app"), route(2, "idempotent", "app")] });
-    other.put("config", "main", spec);
+    other.put_target(&target, Lifecycle::Ready);
+    other.put_manifest(4, &[route(1, true, "app"), route(2, true, "app")]);
     platform.store.set_fault(Fault::Refuse(503));
     std::fs::write(&file, text(&platform, &other, "")).unwrap();
     daemon.tick(true);
@@ -107,7 +106,7 @@
 #[test]
 fn a_file_that_is_refused_changes_nothing_and_is_told() {
     let mut platform = Platform::start();
-    platform.put_manifest(3, &[route(1, "idempotent", "app")]);
+    platform.put_manifest(3, &[route(1, true, "app")]);
     let _target = platform.target(0x11, "app");
     let (mut daemon, file, lines) = start("bad.toml", &text(&platform, &platform.store, ""));
     platform
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use sequoiatrail_cookie::TargetId;
-use sequoiatrail_stand_in::{Runs, Store, Target};
-use serde_json::{Value, json};
+use sequoiatrail_cookie::{Lifecycle, TargetId};
+use sequoiatrail_stand_in::{RouteSpec, Runs, Store, Target};
+use serde_json::json;
 use snafu::ResultExt;
 
 use crate::error::{Result, SocketSnafu};
@@ -60,24 +60,25 @@
     /// A manifest with a higher version and one more route that nobody uses.
     pub fn put_manifest(&mut self, store: &Store) {
         self.version += 3;
-        let spare = json!({ "name": "spare", "host": "198.18.0.9", "type": "idempotent",
-            "path_prefix": format!("/{}/", 1_000 + self.version), "service": "app" });
-        let mut routes: Vec<Value> = vec![spare];
-        routes.extend(SERVICES.iter().enumerate().map(|(n, (service, port))| {
-            let kind = ["idempotent", "non_idempotent"][n];
-            json!({ "name": service, "host": "198.18.0.1", "type": kind,
-                "path_prefix": format!("/{port}/"), "service": service })
-        }));
-        let spec = json!({ "version": self.version, "routes": routes, "services": [],
-            "limits": { "idle_timeout_ms": 15_000 } });
-        store.put("config", "main", spec);
+        let spare = RouteSpec {
+            address: SocketAddrV4::new([198, 18, 0, 9].into(), 1_000 + self.version as u16),
+            idempotent: true,
+            service: SERVICES[0].0.into(),
+        };
+        let used = (0..SERVICES.len()).map(|service| RouteSpec {
+            address: route(service),
+            idempotent: service == 0,
+            service: SERVICES[service].0.into(),
+        });
+        let routes: Vec<RouteSpec> = used.chain([spare]).collect();
+        store.put_manifest(self.version, &routes);
     }
 
     /// An entry that can't be read.
     pub fn put_strange_entry(&mut self, store: &Store) {
         self.next_id += 1;
         let spec = json!({ "service": "app", "address": self.next_id });
-        store.put("servers", &format!("i-{:x}", self.next_id), spec);
+        store.put_strange_target(&format!("i-{:x}", self.next_id), spec);
     }
 
     /// One target joins, and another one of its service drains and leaves.
@@ -86,7 +87,7 @@
         let service = self.live[place].0;
         self.join(store, service)?;
         let (_, target) = self.live.remove(place);
-        store.put("servers", &target.name(), target.entry("draining"));
+        store.put_target(&target, Lifecycle::Draining);
         target.drain();
         self.leaving.push_back((Instant::now() + DRAIN, target));
         Ok(())
@@ -116,12 +117,12 @@
         let now = Instant::now();
         while self.leaving.front().is_some_and(|(at, _)| now >= *at) {
             if let Some((_, target)) = self.leaving.pop_front() {
-                store.delete("servers", &target.name());
+                store.remove_target(&target.name());
             }
         }
         while self.lapsing.front().is_some_and(|(at, _)| now >= *at) {
             if let Some((_, name)) = self.lapsing.pop_front() {
-                store.delete("servers", &name);
+                store.remove_target(&name);
             }
         }
     }
@@ -135,7 +136,7 @@
         let place = (SERVICES[service].0, "a");
         let target =
             Target::start(id, place, 0, self.caller_port, &self.runs).context(SocketSnafu)?;
-        store.put("servers", &target.name(), target.entry("ready"));
+        store.put_target(&target, Lifecycle::Ready);
         self.live.push((service, target));
         Ok(())
     }
