--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -1,81 +1,10 @@
 //! The catalogue of events: number, name, level, fields and meaning.
 
-use std::fmt::Write;
 use std::net::SocketAddr;
 
 use slog::{KV, Level, Record, Serializer, Value};
-use strum::IntoEnumIterator;
 
-/// Defines the events; the doc comment of each is its meaning in the catalogue.
-macro_rules! events {
-    ($(
-        #[doc = $meaning:literal]
-        $id:literal $level:ident $name:ident {
-            $( #[doc = $about:literal] $field:ident: $kind:ty, )*
-        }
-    )+) => {
-        /// A numbered event with its fields.
-        #[derive(Clone, Debug, PartialEq, strum::EnumDiscriminants)]
-        #[strum_discriminants(
-            name(EventKind),
-            derive(Hash, PartialOrd, Ord, strum::EnumIter, strum::IntoStaticStr),
-            strum(serialize_all = "snake_case"),
-            doc = "The kind of an event, without its fields."
-        )]
-        pub enum Event {
-            $(
-                #[doc = $meaning]
-                $name {
-                    $( #[doc = $about] $field: $kind, )*
-                },
-            )+
-        }
-
-        impl EventKind {
-            /// Number of the event; never given to another event.
-            pub fn id(self) -> u16 {
-                match self {
-                    $( EventKind::$name => $id, )+
-                }
-            }
-
-            /// Level that the event is written at.
-            pub fn level(self) -> Level {
-                match self {
-                    $( EventKind::$name => Level::$level, )+
-                }
-            }
-
-            /// What the event means.
-            pub fn meaning(self) -> &'static str {
-                match self {
-                    $( EventKind::$name => $meaning.trim_ascii(), )+
-                }
-            }
-
-            /// Names of the fields.
-            pub fn fields(self) -> &'static [&'static str] {
-                match self {
-                    $( EventKind::$name => &[$( stringify!($field) ),*], )+
-                }
-            }
-        }
-
-        impl KV for Event {
-            fn serialize(&self, record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
-                match self {
-                    $(
-                        #[allow(unused_variables)]
-                        Event::$name { $( $field ),* } => {
-                            $( Value::serialize($field, record, stringify!($field), serializer)?; )*
-                            Ok(())
-                        }
-                    )+
-                }
-            }
-        }
-    };
-}
+use crate::define::events;
 
 events! {
     /// The balancer runs.
@@ -435,45 +364,3 @@
         reason: &'static str,
     }
 }
-
-impl Event {
-    /// The kind of the event.
-    pub fn kind(&self) -> EventKind {
-        self.into()
-    }
-
-    /// Number of the event.
-    pub fn id(&self) -> u16 {
-        self.kind().id()
-    }
-
-    /// Name of the event.
-    pub fn name(&self) -> &'static str {
-        self.kind().into()
-    }
-
-    /// Level that the event is written at.
-    pub fn level(&self) -> Level {
-        self.kind().level()
-    }
-}
-
-/// The catalogue as a Markdown table.
-pub fn markdown() -> String {
-    let mut text =
-        String::from("| Number | Name | Level | Fields | Meaning |\n|---|---|---|---|---|\n");
-    for kind in EventKind::iter() {
-        let name: &'static str = kind.into();
-        let fields: Vec<String> = kind.fields().iter().map(|f| format!("`{f}`")).collect();
-        let level = kind.level().as_str().to_lowercase();
-        // Writing to a `String` cannot fail.
-        let _ = writeln!(
-            text,
-            "| {} | `{name}` | {level} | {} | {} |",
-            kind.id(),
-            fields.join(" "),
-            kind.meaning(),
-        );
-    }
-    text
-}
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -5,11 +5,14 @@
 //! it cannot keep up, lines are dropped and counted, and no packet waits.
 
 mod catalogue;
+mod define;
 mod log;
 mod log_config;
+mod render;
 mod sampling;
 
-pub use catalogue::{Event, EventKind, markdown};
+pub use catalogue::{Event, EventKind};
 pub use log::{Log, Output};
 pub use log_config::{Format, LogConfig, LogLevel};
+pub use render::markdown;
 pub use sampling::{RateLimit, Sampler};
--- /dev/null
+++ b/crates/events/src/render.rs
@@ -0,0 +1,50 @@
+//! Numbers, names and levels of events, and the catalogue as a page.
+
+use std::fmt::Write;
+
+use slog::Level;
+use strum::IntoEnumIterator;
+
+use crate::{Event, EventKind};
+
+impl Event {
+    /// The kind of the event.
+    pub fn kind(&self) -> EventKind {
+        self.into()
+    }
+
+    /// Number of the event.
+    pub fn id(&self) -> u16 {
+        self.kind().id()
+    }
+
+    /// Name of the event.
+    pub fn name(&self) -> &'static str {
+        self.kind().into()
+    }
+
+    /// Level that the event is written at.
+    pub fn level(&self) -> Level {
+        self.kind().level()
+    }
+}
+
+/// The catalogue as a Markdown table.
+pub fn markdown() -> String {
+    let mut text =
+        String::from("| Number | Name | Level | Fields | Meaning |\n|---|---|---|---|---|\n");
+    for kind in EventKind::iter() {
+        let name: &'static str = kind.into();
+        let fields: Vec<String> = kind.fields().iter().map(|f| format!("`{f}`")).collect();
+        let level = kind.level().as_str().to_lowercase();
+        // Writing to a `String` cannot fail.
+        let _ = writeln!(
+            text,
+            "| {} | `{name}` | {level} | {} | {} |",
+            kind.id(),
+            fields.join(" "),
+            kind.meaning(),
+        );
+    }
+    text
+}
