--- a/crates/cookie/src/directory.rs
+++ b/crates/cookie/src/directory.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hashbrown::HashMap;
+use hashbrown::{HashMap, HashSet};
 
 use crate::{Cookie, Health, Lifecycle, Load, TargetEntry, TargetId};
 
@@ -94,8 +94,9 @@
 pub struct Directory {
     revision: u64,
     loaded: bool,
-    /// Free places are `None`.
+    /// Free places are `None` and stand in `free`.
     targets: Vec<Option<Target>>,
+    free: Vec<TargetKey>,
     by_id: HashMap<TargetId, TargetKey>,
     by_cookie: HashMap<Cookie, TargetKey>,
     /// Targets that may take new flows and own their cookie.
@@ -137,7 +138,7 @@
         if self.loaded && revision < self.revision {
             return Vec::new();
         }
-        let present: Vec<TargetId> = list.iter().map(changed_id).collect();
+        let present: HashSet<TargetId> = list.iter().map(changed_id).collect();
         let known: Vec<TargetId> = self.by_id.keys().copied().collect();
         let vanished = known.into_iter().filter(|id| !present.contains(id));
         let mut changes = list;
@@ -179,7 +180,7 @@
     pub fn sweep(&mut self, now: Duration, keep: Duration) -> Vec<(TargetId, TargetNews)> {
         let mut news = Vec::new();
         let mut forgotten = false;
-        for slot in &mut self.targets {
+        for (place, slot) in self.targets.iter_mut().enumerate() {
             let Some(target) = slot else { continue };
             match target.presence {
                 Presence::Lapsed { since } if now >= since + LAPSE_GRACE => {
@@ -189,6 +190,7 @@
                 Presence::Gone { since } if now >= since + keep => {
                     self.by_id.remove(&target.entry.id);
                     *slot = None;
+                    self.free.push(TargetKey(place as u32));
                     forgotten = true;
                 }
                 _ => {}
@@ -289,13 +291,15 @@
 
     fn insert(&mut self, target: Target) {
         let id = target.entry.id;
-        let free = self.targets.iter().position(Option::is_none);
-        let place = free.unwrap_or(self.targets.len());
-        if place == self.targets.len() {
-            self.targets.push(None);
-        }
-        self.targets[place] = Some(target);
-        self.by_id.insert(id, TargetKey(place as u32));
+        let key = match self.free.pop() {
+            Some(key) => key,
+            None => {
+                self.targets.push(None);
+                TargetKey(self.targets.len() as u32 - 1)
+            }
+        };
+        self.targets[key.0 as usize] = Some(target);
+        self.by_id.insert(id, key);
     }
 
     /// Builds the indexes anew; the directory is small and changes seldom.
--- a/crates/daemon/src/cookie/follower.rs
+++ b/crates/daemon/src/cookie/follower.rs
@@ -34,6 +34,9 @@
 const SETTLE_TARGETS: Duration = Duration::from_millis(800);
 /// Longest time of a list, which a slow store may need.
 const LIST_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Least time of a watch without changes; a store that answers sooner is not
+/// asked again at once.
+const LEAST_WATCH: Duration = Duration::from_millis(200);
 /// Time over which balancers spread out that must list again.
 const RESYNC_SPREAD: Duration = Duration::from_millis(200);
 
@@ -84,6 +87,8 @@
         let pauses = self.shared.pauses();
         if std::mem::replace(&mut self.pauses, pauses) != pauses {
             self.follow.restart();
+            // The store may have had trouble meanwhile, and nobody saw it.
+            self.last_trouble = Some(self.shared.clock.now());
         }
         let step = self.follow.next(self.shared.clock.now());
         let done = match step {
@@ -129,12 +134,16 @@
         let wait = self.follow.config().watch_wait;
         let limit = wait + self.shared.store().config().call_timeout;
         let path = watch_path(self.kind, after, wait, true);
+        let begun = self.shared.clock.now();
         let reply = self.get(&path, limit)?;
         let page = decode_watch(&reply)?;
         self.log_unreadable(page.unreadable);
         // A stale answer may show an older revision than was asked for.
         let revision = page.revision.max(after);
         let changes = page.events.len();
+        if changes == 0 && self.shared.clock.now() < begun + LEAST_WATCH {
+            thread::sleep(LEAST_WATCH);
+        }
         self.take_events(page.events, revision);
         self.follow
             .watched(self.shared.clock.now(), revision, changes);
