--- a/crates/soak/src/balancers.rs
+++ b/crates/soak/src/balancers.rs
@@ -1,12 +1,13 @@
 //! Balancer processes. Only processes started here are ever signalled.
 
 use std::fs::{self, File};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use sequoiatrail_stand_in::Ports;
 use snafu::ResultExt;
 
 use crate::error::{FileSnafu, Result, SocketSnafu, StartSnafu};
@@ -33,14 +34,15 @@
         dir: &Path,
         store: SocketAddr,
         caller_port: u16,
+        ports: &mut Ports,
     ) -> Result<Balancer> {
         let link = Proxy::start(store).context(SocketSnafu)?;
         let mut balancer = Balancer {
             program: program.to_owned(),
             file: dir.join(format!("balancer-{number}.toml")),
             log: dir.join(format!("balancer-{number}.log")),
-            packets: free_udp().context(SocketSnafu)?,
-            readiness: free_tcp().context(SocketSnafu)?,
+            packets: ports.free(),
+            readiness: ports.free(),
             link,
             child: None,
             own_ends: 0,
@@ -121,11 +123,3 @@
         }
     }
 }
-
-fn free_udp() -> std::io::Result<SocketAddr> {
-    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
-}
-
-fn free_tcp() -> std::io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
-}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
-use sequoiatrail_stand_in::{Callers, Fault, Router, Runs, Store};
+use sequoiatrail_stand_in::{Callers, Fault, Ports, Router, Runs, Store};
 use snafu::ResultExt;
 
 use crate::balancers::Balancer;
@@ -117,9 +117,13 @@
             reason: e.to_string(),
         })?;
         let targets = Targets::start(&store, callers.port(), runs)?;
+        let mut ports = Ports::new();
         let numbers = 0..settings.balancers;
         let balancers: Result<Vec<Balancer>> = numbers
-            .map(|n| Balancer::start(n, &settings.program, logs, store.addr(), callers.port()))
+            .map(|n| {
+                let (store, port) = (store.addr(), callers.port());
+                Balancer::start(n, &settings.program, logs, store, port, &mut ports)
+            })
             .collect();
         Ok(Run {
             store,
