--- a/crates/daemon/src/cookie.rs
+++ b/crates/daemon/src/cookie.rs
@@ -48,7 +48,8 @@
     threads: Vec<JoinHandle<()>>,
     /// Error of the first thread that ended by one.
     failure: Arc<Mutex<Option<String>>>,
-    http: Option<HttpServer>,
+    /// Servers of readiness and metrics.
+    http: Vec<HttpServer>,
     listen: SocketAddr,
     reloader: Reloader,
     stop_grace: Duration,
@@ -68,7 +69,7 @@
 
     /// Address of readiness and metrics.
     pub fn http_address(&self) -> Option<SocketAddr> {
-        self.http.as_ref().map(HttpServer::addr)
+        self.http.first().map(HttpServer::addr)
     }
 
     /// Address that packets are received at.
@@ -118,7 +119,7 @@
 
     fn end(&mut self) {
         self.shared.ended.store(true, Ordering::Release);
-        self.http = None;
+        self.http.clear();
         // Threads that wait for the store end after their call.
         self.threads.clear();
     }
--- a/crates/daemon/src/cookie/http.rs
+++ b/crates/daemon/src/cookie/http.rs
@@ -20,14 +20,15 @@
 /// Starts the server.
 pub(super) fn start(
     shared: &Arc<Shared>,
+    metrics: &Arc<Metrics>,
     listen: SocketAddr,
     readiness_path: &str,
 ) -> Result<HttpServer> {
-    let metrics = Metrics::new(shared)?;
-    let server = rocket(Arc::clone(shared), metrics, listen, readiness_path);
+    let (state, metrics) = (Arc::clone(shared), Arc::clone(metrics));
+    let server = rocket(state, metrics, listen, readiness_path);
     HttpServer::start(server, listen).or_else(|e| {
         PartSnafu {
-            part: "cookie.http_listen",
+            part: "cookie.http_listen or cookie.metrics_listen",
             reason: e.to_string(),
         }
         .fail()
@@ -36,7 +37,7 @@
 
 fn rocket(
     shared: Arc<Shared>,
-    metrics: Metrics,
+    metrics: Arc<Metrics>,
     listen: SocketAddr,
     readiness_path: &str,
 ) -> Rocket<Build> {
@@ -56,6 +57,6 @@
 }
 
 #[get("/")]
-fn metrics_text(metrics: &State<Metrics>) -> String {
+fn metrics_text(metrics: &State<Arc<Metrics>>) -> String {
     metrics.text()
 }
--- a/crates/daemon/src/cookie/reload.rs
+++ b/crates/daemon/src/cookie/reload.rs
@@ -91,6 +91,7 @@
             || a.flow_max_age_s != b.flow_max_age_s
             || old.data.max_flows != new.data.max_flows;
         let sockets = a.http_listen != b.http_listen
+            || a.metrics_listen != b.metrics_listen
             || a.readiness_path != b.readiness_path
             || a.caller_port != b.caller_port;
         let timing = a.stop_grace_s != b.stop_grace_s || a.watch_wait_ms != b.watch_wait_ms;
--- a/crates/daemon/src/cookie/start.rs
+++ b/crates/daemon/src/cookie/start.rs
@@ -16,6 +16,7 @@
 use super::CookieDaemon;
 use super::follower::Follower;
 use super::http;
+use super::metrics::Metrics;
 use super::outlet::Outlet;
 use super::packets::Packets;
 use super::prober::Prober;
@@ -42,7 +43,7 @@
         shared: Arc::clone(&shared),
         threads: Vec::new(),
         failure: Arc::default(),
-        http: None,
+        http: Vec::new(),
         listen,
         stop_grace: Duration::from_secs_f64(cookie.stop_grace_s),
         reloader: Reloader::new(file, settings.clone()),
@@ -64,8 +65,14 @@
     daemon.follow_store(&settings)?;
     daemon.spawn("packets", move || packets.run())?;
     daemon.spawn("probe", move || prober.run(outlet, probes))?;
-    let server = http::start(&shared, cookie.http_listen, &cookie.readiness_path)?;
-    daemon.http = Some(server);
+    let metrics = Arc::new(Metrics::new(&shared)?);
+    let path = &cookie.readiness_path;
+    let server = http::start(&shared, &metrics, cookie.http_listen, path)?;
+    daemon.http.push(server);
+    if let Some(listen) = cookie.metrics_listen {
+        let server = http::start(&shared, &metrics, listen, path)?;
+        daemon.http.push(server);
+    }
     shared.log.emit(Event::Started {
         version: env!("CARGO_PKG_VERSION"),
         node: rand::random(),
--- a/crates/daemon/tests/cookie_settings.rs
+++ b/crates/daemon/tests/cookie_settings.rs
@@ -12,7 +12,7 @@
 use sequoiatrail_daemon::cookie::CookieDaemon;
 use sequoiatrail_events::{Format, Log, LogConfig};
 use sequoiatrail_settings::load;
-use sequoiatrail_stand_in::{Fault, Store};
+use sequoiatrail_stand_in::{Fault, Ports, Store};
 
 /// Lines of a log.
 #[derive(Clone, Default)]
@@ -90,6 +90,27 @@
     });
 }
 
+#[test]
+fn metrics_stand_at_a_further_address_too() {
+    let mut platform = Platform::start();
+    platform.put_manifest(3, &[route(1, true, "app")]);
+    let _target = platform.target(0x11, "app");
+    let further = Ports::new().free();
+    let more = format!("metrics_listen = \"{further}\"\n");
+    let (daemon, _file, _lines) = start("further.toml", &text(&platform, &platform.store, &more));
+    let http = daemon.http_address().unwrap();
+    platform.router.add(daemon.listen(), http);
+    platform.wait_ready(1);
+    assert_eq!(platform.ask(address(1)), answered("app"));
+    for address in [http, further] {
+        let mut reply = ureq::get(format!("http://{address}/metrics"))
+            .call()
+            .unwrap();
+        let text = reply.body_mut().read_to_string().unwrap();
+        assert!(text.contains("sequoiatrail_packet_handling_seconds_count"));
+    }
+}
+
 #[test]
 fn a_file_that_changes_without_a_signal_is_noticed() {
     let platform = Platform::start();
--- a/crates/settings/src/cookie.rs
+++ b/crates/settings/src/cookie.rs
@@ -12,6 +12,8 @@
         failure_domain: String = String::new(), "text", check::text;
         /// Address of readiness and metrics.
         http_listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 7501)), "an IP address and port", check::socket;
+        /// A further address of the same, for collectors that know no other port. Without it: none.
+        metrics_listen: Option<SocketAddr> = None, "an IP address and port", check::socket;
         /// Path of readiness.
         readiness_path: String = "/readiness".into(), "text that begins with `/`", check::path;
         /// Port of callers that resets are sent to; 0 means the port of `data.listen`.
