test: the live balancer of a staleness test writes at a pace that the platform takes

How fast the loop turns is chance. Change: it writes every 50 ms, twenty times within the second after which a status counts as stale. The check is the same.

--- a/crates/platform/tests/follow.rs
+++ b/crates/platform/tests/follow.rs
@@ -199,8 +199,14 @@
     store.write_status(&status(1)).unwrap();
     let mut gone = Vec::new();
     let give_up = Instant::now() + Duration::from_secs(10);
+    let mut next_write = Instant::now();
     while gone.is_empty() && Instant::now() < give_up {
-        store.write_status(&status(2)).unwrap();
+        // Each write ends the watch: unpaced, the loop runs into the stand-in's
+        // rate of calls.
+        if Instant::now() >= next_write {
+            store.write_status(&status(2)).unwrap();
+            next_write = Instant::now() + Duration::from_millis(50);
+        }
         gone.extend(follower.step().into_iter().filter_map(|e| match e {
             StoreEvent::BalancerGone(node) => Some(node),
             _ => None,
