feat: balancers ask one another while the store does not answer

Cause: a balancer that starts while the store is away knows no manifest and no targets, so that it asks for no packets until the store is back. Rolled or killed balancers then leave their VMs useless one by one, although others know everything.

Ruled out: a list of balancers in the store, which can't be read when it is needed; the detector of the own packet form, as nothing depends on who lives.

--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -13,23 +13,12 @@
 use crate::routes::Taken;
 use crate::silence::doubt;
 use crate::unknown::UnknownCookies;
-use crate::{Config, Directory, Effects, Flows, Manifest, Routes, TargetEntry, TargetId};
+use crate::{Config, Directory, Effects, Flows, Manifest, Routes, TargetId};
 
 /// Seed of the hash that splits a route's flows among services; the same on
 /// every balancer, so that copies of an opening packet go to one service.
 const SPLIT_SEED: u64 = 0x5e71;
 
-/// Everything that a balancer decides from; enough to start another one.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-pub struct Snapshot {
-    /// Revision of the store that the targets are from.
-    pub revision: u64,
-    /// Listed targets.
-    pub targets: Vec<TargetEntry>,
-    /// The manifest.
-    pub manifest: Manifest,
-}
-
 /// The state of the data path of one process.
 pub struct Balancer {
     pub(crate) cfg: Config,
@@ -136,19 +125,6 @@
         news
     }
 
-    /// What another balancer needs to start; `None` before this one is ready.
-    pub fn snapshot(&self) -> Option<Snapshot> {
-        let manifest = self.manifest.as_deref()?.clone();
-        if !self.directory.is_loaded() {
-            return None;
-        }
-        Some(Snapshot {
-            revision: self.directory.revision(),
-            targets: self.directory.listed().cloned().collect(),
-            manifest,
-        })
-    }
-
     /// Forgets flows that are idle and targets that are long gone. To be called
     /// every second or so.
     pub fn sweep(&mut self, now: Duration) -> Vec<(TargetId, TargetNews)> {
--- a/crates/cookie/src/directory.rs
+++ b/crates/cookie/src/directory.rs
@@ -94,6 +94,9 @@
 pub struct Directory {
     revision: u64,
     loaded: bool,
+    /// Whether the targets are from another balancer: the next list of the store
+    /// counts whatever its revision, as that balancer may follow another store.
+    from_peer: bool,
     /// Free places are `None` and stand in `free`.
     targets: Vec<Option<Target>>,
     free: Vec<TargetKey>,
@@ -121,11 +124,33 @@
         listed.map(|t| &t.entry)
     }
 
+    /// Targets whose entry can't be read.
+    pub(crate) fn unreadable_entries(&self) -> impl Iterator<Item = TargetId> {
+        let targets = self.targets.iter().flatten();
+        let unreadable = targets.filter(|t| t.presence == Presence::Unreadable);
+        unreadable.map(|t| t.entry.id)
+    }
+
     /// Forgets the revision, not the targets.
     pub(crate) fn forget_revision(&mut self) {
         self.revision = 0;
     }
 
+    /// Takes in the list of another balancer, which follows the store by itself.
+    pub(crate) fn replace_by_peer(
+        &mut self,
+        now: Duration,
+        revision: u64,
+        list: Vec<TargetChange>,
+    ) -> Vec<(TargetId, TargetNews)> {
+        if self.loaded && revision <= self.revision {
+            return Vec::new();
+        }
+        let news = self.replace(now, revision, list, false);
+        self.from_peer = true;
+        news
+    }
+
     /// Takes in a whole list as of `revision`; a list older than what is known
     /// changes nothing. `settled` says that the store had no trouble lately.
     pub fn replace(
@@ -135,9 +160,11 @@
         list: Vec<TargetChange>,
         settled: bool,
     ) -> Vec<(TargetId, TargetNews)> {
-        if self.loaded && revision < self.revision {
+        if self.loaded && !self.from_peer && revision < self.revision {
             return Vec::new();
         }
+        self.from_peer = false;
+        self.revision = revision;
         let present: HashSet<TargetId> = list.iter().map(changed_id).collect();
         let known: Vec<TargetId> = self.by_id.keys().copied().collect();
         let vanished = known.into_iter().filter(|id| !present.contains(id));
--- a/crates/cookie/tests/common/mod.rs
+++ b/crates/cookie/tests/common/mod.rs
@@ -64,21 +64,25 @@
 }
 
 impl World {
-    /// Targets 1 to `local` are in the balancer's own failure domain `a`, the
-    /// next `foreign` ones in `b`.
-    pub fn new(local: u64, foreign: u64) -> World {
+    /// A balancer that knows nothing.
+    pub fn starting() -> World {
         let cfg = Config {
             domain: Arc::from("a"),
             ..Config::default()
         };
-        let mut balancer = Balancer::new(cfg, 7);
-        let routes = vec![route(REPEATABLE, &[("app", 1)]), route(ONCE, &[("app", 1)])];
-        balancer.apply_manifest(manifest(1, routes));
-        let mut world = World {
-            balancer,
+        World {
+            balancer: Balancer::new(cfg, 7),
             now: Duration::from_secs(100),
             revision: 10,
-        };
+        }
+    }
+
+    /// Targets 1 to `local` are in the balancer's own failure domain `a`, the
+    /// next `foreign` ones in `b`.
+    pub fn new(local: u64, foreign: u64) -> World {
+        let mut world = World::starting();
+        let routes = vec![route(REPEATABLE, &[("app", 1)]), route(ONCE, &[("app", 1)])];
+        world.balancer.apply_manifest(manifest(1, routes));
         let domain = |id| if id <= local { "a" } else { "b" };
         let list = (1..=local + foreign).map(|id| TargetChange::Present(entry(id, domain(id))));
         world
--- a/crates/daemon/src/cookie.rs
+++ b/crates/daemon/src/cookie.rs
@@ -1,7 +1,8 @@
 //! A balancer whose packets carry a flow cookie.
 //!
 //! One thread forwards packets; one follows each kind of object in the store;
-//! one serves readiness and metrics. The decisions are those of
+//! one asks other balancers while the store does not answer; servers answer them,
+//! readiness and metrics. The decisions are those of
 //! `sequoiatrail_cookie`; names and formats are those of `sequoiatrail_adapter`.
 
 mod changes;
@@ -10,6 +11,7 @@
 mod metrics;
 mod outlet;
 mod packets;
+mod peers;
 mod prober;
 mod reload;
 mod shared;
@@ -50,6 +52,8 @@
     failure: Arc<Mutex<Option<String>>>,
     /// Servers of readiness and metrics.
     http: Vec<HttpServer>,
+    /// Server of questions from other balancers.
+    peers: Option<HttpServer>,
     listen: SocketAddr,
     reloader: Reloader,
     stop_grace: Duration,
@@ -72,6 +76,11 @@
         self.http.first().map(HttpServer::addr)
     }
 
+    /// Address that other balancers ask at.
+    pub fn peers_address(&self) -> Option<SocketAddr> {
+        self.peers.as_ref().map(HttpServer::addr)
+    }
+
     /// Address that packets are received at.
     pub fn listen(&self) -> SocketAddr {
         self.listen
@@ -120,6 +129,7 @@
     fn end(&mut self) {
         self.shared.ended.store(true, Ordering::Release);
         self.http.clear();
+        self.peers = None;
         // Threads that wait for the store end after their call.
         self.threads.clear();
     }
--- a/crates/daemon/src/cookie/changes.rs
+++ b/crates/daemon/src/cookie/changes.rs
@@ -54,6 +54,18 @@
     let manifest = Arc::new(decoded.manifest);
     let (version, routes) = (manifest.version, manifest.routes.len());
     let taken = shared.lock().apply_manifest(manifest);
+    log_manifest(shared, taken, version, (routes, left_out), source);
+}
+
+/// Logs that a manifest came into force, if it did; with the number of its
+/// routes, and of those that were left out.
+pub(super) fn log_manifest(
+    shared: &Shared,
+    taken: Taken,
+    version: u64,
+    (routes, left_out): (usize, usize),
+    source: &'static str,
+) {
     if let Taken::Applied { replaced } = taken {
         shared.log.emit(Event::ManifestInForce {
             version,
--- a/crates/daemon/src/cookie/follower.rs
+++ b/crates/daemon/src/cookie/follower.rs
@@ -50,7 +50,7 @@
     last_trouble: Option<Duration>,
     /// When the present trouble began.
     lost_since: Option<Duration>,
-    pauses: u64,
+    relists: u64,
 }
 
 impl Follower {
@@ -66,7 +66,7 @@
             ..FollowConfig::default()
         };
         Follower {
-            pauses: shared.pauses(),
+            relists: shared.relists(),
             counters: shared.counters.for_thread(),
             shared,
             kind,
@@ -84,8 +84,8 @@
     }
 
     fn step(&mut self) {
-        let pauses = self.shared.pauses();
-        if std::mem::replace(&mut self.pauses, pauses) != pauses {
+        let relists = self.shared.relists();
+        if std::mem::replace(&mut self.relists, relists) != relists {
             self.follow.restart();
             // The store may have had trouble meanwhile, and nobody saw it.
             self.last_trouble = Some(self.shared.clock.now());
@@ -202,9 +202,10 @@
 
     fn answered(&mut self, revision: Revision) {
         if self.kind == Kind::Targets {
-            self.shared.confirm_targets();
+            self.shared.confirm_targets(self.shared.clock.now());
         }
         if let Some(since) = self.lost_since.take() {
+            self.shared.store_back();
             let now = self.shared.clock.now();
             self.shared.log.emit(Event::StoreBack {
                 kind: self.kind.name(),
@@ -221,6 +222,7 @@
         self.follow.failed(now, error);
         if self.lost_since.is_none() {
             self.lost_since = Some(now);
+            self.shared.store_lost();
             self.shared.log.emit(Event::StoreLost {
                 kind: self.kind.name(),
                 error: error.to_string(),
--- /dev/null
+++ b/crates/daemon/src/cookie/peers/asker.rs
@@ -0,0 +1,147 @@
+//! Questions to other balancers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use sequoiatrail_cookie::{PeerChange, Snapshot, SnapshotTaken};
+use sequoiatrail_events::Event;
+use sequoiatrail_platform::{Client, ClientConfig, Error, Method};
+
+use super::message::{Answer, PATH, Question, open, seal};
+use super::server::Known;
+use crate::cookie::changes::{log_manifest, log_news};
+use crate::cookie::shared::Shared;
+use crate::counters::{Count, Counters};
+
+/// Time between two looks at whether somebody is to be asked.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Longest time to make a connection; many round trips between failure domains.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time of a question; a snapshot over the slowest link takes less.
+const ASK_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Largest answer, in bytes: a manifest and targets of the largest size.
+const MAX_ANSWER_BYTES: u64 = 4 << 20;
+/// What log lines name as the source of news.
+const SOURCE: &str = "peer";
+
+/// Asks, on a thread of its own.
+pub(in crate::cookie) struct Asker {
+    shared: Arc<Shared>,
+    known: Arc<Known>,
+    counters: Arc<Counters>,
+    /// Where this balancer takes questions.
+    own: SocketAddr,
+}
+
+impl Asker {
+    pub fn new(shared: Arc<Shared>, known: Arc<Known>, own: SocketAddr) -> Asker {
+        Asker {
+            counters: shared.counters.for_thread(),
+            shared,
+            known,
+            own,
+        }
+    }
+
+    /// Asks until the process ends.
+    pub fn run(self) {
+        while !self.shared.has_ended() {
+            thread::sleep(LOOK_EVERY);
+            let now = self.shared.clock.now();
+            let urgent = self.shared.lacks_store(now);
+            let next = self.known.peers().next(now, urgent);
+            if let Some(peer) = next {
+                self.ask(peer, urgent);
+            }
+        }
+    }
+
+    fn ask(&self, peer: SocketAddr, urgent: bool) {
+        self.counters.add(Count::PeerQuestions, 1);
+        match self.exchange(peer, urgent) {
+            Ok(answer) => self.answered(peer, answer),
+            Err(error) => self.failed(peer, error),
+        }
+    }
+
+    fn exchange(&self, peer: SocketAddr, urgent: bool) -> Result<Answer, String> {
+        let question = self.question(urgent);
+        let key = self.known.key.as_ref();
+        let body = seal(key, PATH.as_bytes(), &question).map_err(|e| e.to_string())?;
+        let client = Client::new(ClientConfig {
+            endpoint: peer,
+            connect_timeout: CONNECT_TIMEOUT,
+            max_answer_bytes: MAX_ANSWER_BYTES,
+            clock: Arc::clone(&self.shared.clock),
+            ..ClientConfig::default()
+        });
+        let reply = client.exchange(Method::POST, PATH, &body, ASK_TIMEOUT);
+        let reply = reply.map_err(|e: Error| e.to_string())?;
+        if reply.status != 200 {
+            return Err(format!("status {}", reply.status));
+        }
+        let context = question.nonce.to_be_bytes();
+        open(key, &context, &reply.body).map_err(|e| e.to_string())
+    }
+
+    fn question(&self, urgent: bool) -> Question {
+        let balancer = self.shared.lock();
+        let directory = balancer.directory();
+        Question {
+            from: self.own,
+            nonce: rand::random(),
+            manifest: balancer.routes().version(),
+            revision: directory.revision(),
+            wants_snapshot: urgent,
+        }
+    }
+
+    fn answered(&self, peer: SocketAddr, answer: Answer) {
+        let change = self.known.peers().answered(peer, &answer.peers);
+        if change == Some(PeerChange::Back) {
+            self.shared.log.emit(Event::PeerBack { peer });
+        }
+        let now = self.shared.clock.now();
+        let age = Duration::from_millis(answer.age_ms);
+        if let Some(snapshot) = answer.snapshot {
+            self.take(now, peer, snapshot, age);
+        }
+        if self.shared.lock().directory().revision() == answer.revision {
+            self.shared.confirm_targets(now.saturating_sub(age));
+        }
+    }
+
+    fn take(&self, now: Duration, peer: SocketAddr, snapshot: Snapshot, age: Duration) {
+        let (version, routes) = (snapshot.manifest.version, snapshot.manifest.routes.len());
+        let (revision, targets) = (snapshot.revision, snapshot.targets.len());
+        let taken = self.shared.lock().take_snapshot(now, snapshot);
+        let SnapshotTaken {
+            manifest,
+            targets: news,
+        } = match taken {
+            Ok(taken) => taken,
+            Err(e) => return self.failed(peer, e.to_string()),
+        };
+        self.counters.add(Count::SnapshotsTaken, 1);
+        self.shared.log.emit(Event::SnapshotTaken {
+            peer,
+            manifest: version,
+            revision,
+            targets,
+            age_ms: age.as_millis() as u64,
+        });
+        log_manifest(&self.shared, manifest, version, (routes, 0), SOURCE);
+        log_news(&self.shared, &news, revision, SOURCE);
+        // The store's own list goes before this one as soon as it answers.
+        self.shared.list_again();
+    }
+
+    fn failed(&self, peer: SocketAddr, error: String) {
+        let change = self.known.peers().failed(peer);
+        if change == Some(PeerChange::Lost) {
+            self.shared.log.emit(Event::PeerLost { peer, error });
+        }
+    }
+}
--- a/crates/daemon/src/cookie/reload.rs
+++ b/crates/daemon/src/cookie/reload.rs
@@ -92,6 +92,7 @@
             || old.data.max_flows != new.data.max_flows;
         let sockets = a.http_listen != b.http_listen
             || a.metrics_listen != b.metrics_listen
+            || a.peers_listen != b.peers_listen
             || a.readiness_path != b.readiness_path
             || a.caller_port != b.caller_port;
         let timing = a.stop_grace_s != b.stop_grace_s || a.watch_wait_ms != b.watch_wait_ms;
@@ -102,6 +103,7 @@
                 old.data.listen != new.data.listen || old.data.format != new.data.format,
             ),
             ("cookie", sockets || timing),
+            ("peers", old.peers != new.peers),
             ("log", old.log != new.log),
         ];
         let pending = sections.into_iter().filter(|(_, changed)| *changed);
--- a/crates/daemon/src/cookie/shared.rs
+++ b/crates/daemon/src/cookie/shared.rs
@@ -1,7 +1,7 @@
 //! What all threads of a balancer share.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime};
 
@@ -25,6 +25,9 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest time to make a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time after the start without manifest or targets after which other balancers
+/// are asked for them; many round trips to the store.
+const START_LIMIT: Duration = Duration::from_millis(400);
 /// Why packets are asked for.
 const READY: &str = "manifest and targets are known";
 
@@ -75,8 +78,12 @@
     pub ended: AtomicBool,
     /// When the targets were last confirmed by the store, in milliseconds of `clock`.
     targets_confirmed_ms: AtomicU64,
-    /// Raised when the process stood still; followers then begin anew.
-    pauses: AtomicU64,
+    /// Followers that the store does not answer.
+    lost: AtomicU32,
+    /// When the process started, on `clock`.
+    started: Duration,
+    /// Raised when followers have to begin anew.
+    relists: AtomicU64,
     last_look: Mutex<Option<Look>>,
     told_ready: AtomicBool,
 }
@@ -94,6 +101,8 @@
         Shared {
             balancer: Mutex::new(balancer),
             store: Mutex::new(store),
+            started: clock.now(),
+            lost: AtomicU32::new(0),
             clock,
             log,
             counters: Arc::default(),
@@ -102,7 +111,7 @@
             stopping: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             targets_confirmed_ms: AtomicU64::new(0),
-            pauses: AtomicU64::new(0),
+            relists: AtomicU64::new(0),
             last_look: Mutex::new(None),
             told_ready: AtomicBool::new(false),
         }
@@ -125,7 +134,7 @@
         *store = client(&self.clock, settings.endpoint);
         drop(store);
         self.lock().forget_revision();
-        self.pauses.fetch_add(1, Ordering::AcqRel);
+        self.list_again();
     }
 
     /// Whether the routers should send packets here.
@@ -161,10 +170,26 @@
         self.ended.load(Ordering::Acquire)
     }
 
-    /// Takes in that the store confirmed the targets.
-    pub fn confirm_targets(&self) {
-        let now = self.clock.now().as_millis() as u64;
-        self.targets_confirmed_ms.store(now, Ordering::Relaxed);
+    /// Takes in that the store confirmed the targets at a time.
+    pub fn confirm_targets(&self, at: Duration) {
+        let at = at.as_millis() as u64;
+        self.targets_confirmed_ms.fetch_max(at, Ordering::Relaxed);
+    }
+
+    /// Takes in that the store stopped answering a follower.
+    pub fn store_lost(&self) {
+        self.lost.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// Takes in that the store answers a follower again.
+    pub fn store_back(&self) {
+        self.lost.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    /// Whether the store does not answer, so that others are to be asked.
+    pub fn lacks_store(&self, now: Duration) -> bool {
+        let waits = now >= self.started + START_LIMIT && !self.lock().is_ready();
+        waits || self.lost.load(Ordering::Acquire) > 0
     }
 
     /// Time since the store last confirmed the targets.
@@ -173,9 +198,14 @@
         now.saturating_sub(Duration::from_millis(confirmed))
     }
 
-    /// How often the process stood still.
-    pub fn pauses(&self) -> u64 {
-        self.pauses.load(Ordering::Acquire)
+    /// Makes all followers begin anew with a list.
+    pub fn list_again(&self) {
+        self.relists.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// How often followers had to begin anew.
+    pub fn relists(&self) -> u64 {
+        self.relists.load(Ordering::Acquire)
     }
 
     /// Notices that the process did not run for a while: the steady clock jumped
@@ -199,7 +229,7 @@
         if passed < PAUSE {
             return;
         }
-        self.pauses.fetch_add(1, Ordering::AcqRel);
+        self.list_again();
         self.log.emit(Event::Paused {
             paused_ms: passed.as_millis() as u64,
         });
--- a/crates/daemon/src/cookie/start.rs
+++ b/crates/daemon/src/cookie/start.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use sequoiatrail_adapter::Kind;
-use sequoiatrail_cookie::{Balancer, Config};
+use sequoiatrail_cookie::{Balancer, Config, Peers, PeersConfig};
 use sequoiatrail_events::{Event, Log};
 use sequoiatrail_settings::Settings;
 use sequoiatrail_types::{Clock, SystemClock};
+use sequoiatrail_wire::Key;
 use snafu::ResultExt;
 
 use super::CookieDaemon;
@@ -19,12 +20,13 @@
 use super::metrics::Metrics;
 use super::outlet::Outlet;
 use super::packets::Packets;
+use super::peers::{self, Asker, Known};
 use super::prober::Prober;
 use super::reload::Reloader;
 use super::shared::Shared;
-use crate::Result;
 use crate::error::{PartSnafu, ThreadSnafu};
 use crate::receive;
+use crate::{Error, Result};
 
 /// Receive buffer of the socket, in bytes: some hundred packets of the largest size.
 const RECEIVE_BUFFER_BYTES: usize = 1 << 20;
@@ -44,6 +46,7 @@
         threads: Vec::new(),
         failure: Arc::default(),
         http: Vec::new(),
+        peers: None,
         listen,
         stop_grace: Duration::from_secs_f64(cookie.stop_grace_s),
         reloader: Reloader::new(file, settings.clone()),
@@ -65,6 +68,7 @@
     daemon.follow_store(&settings)?;
     daemon.spawn("packets", move || packets.run())?;
     daemon.spawn("probe", move || prober.run(outlet, probes))?;
+    daemon.know_peers(&settings)?;
     let metrics = Arc::new(Metrics::new(&shared)?);
     let path = &cookie.readiness_path;
     let server = http::start(&shared, &metrics, cookie.http_listen, path)?;
@@ -95,6 +99,29 @@
         Ok(())
     }
 
+    fn know_peers(&mut self, settings: &Settings) -> Result<()> {
+        let Some(listen) = settings.cookie.peers_listen else {
+            return Ok(());
+        };
+        let key = match settings.peers.key.as_str() {
+            "" => None,
+            key => Some(Key::new(key.as_bytes()).map_err(|e| Error::Part {
+                part: "peers.key",
+                reason: e.to_string(),
+            })?),
+        };
+        let cfg = PeersConfig::default();
+        let peers = Peers::new(cfg, listen, &settings.peers.seeds, rand::random());
+        let known = Arc::new(Known::new(peers, key));
+        let server = peers::start(&self.shared, &known, listen)?;
+        let asker = Asker::new(Arc::clone(&self.shared), known, server.addr());
+        self.peers = Some(server);
+        self.spawn("peers", move || {
+            asker.run();
+            Ok(())
+        })
+    }
+
     fn spawn<F>(&mut self, name: &'static str, work: F) -> Result<()>
     where
         F: FnOnce() -> std::io::Result<()> + Send + 'static,
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -48,6 +48,12 @@
     StoreWatches,
     /// Calls to the store that gave no result.
     StoreFailures,
+    /// Questions to other balancers.
+    PeerQuestions,
+    /// Snapshots taken from other balancers.
+    SnapshotsTaken,
+    /// Snapshots given to other balancers.
+    SnapshotsGiven,
     /// Datagrams that could not be sent.
     SendFailed,
 }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -76,6 +76,11 @@
 
     /// Starts a balancer and tells the routers.
     pub fn balancer(&self) -> CookieDaemon {
+        self.balancer_with(|_| ())
+    }
+
+    /// Starts a balancer with settings of its own and tells the routers.
+    pub fn balancer_with(&self, adapt: impl Fn(&mut Settings)) -> CookieDaemon {
         let mut settings = Settings::default();
         settings.data.format = Format::Cookie;
         settings.data.listen = ([127, 0, 0, 1], 0).into();
@@ -86,6 +91,7 @@
         settings.cookie.caller_port = self.callers.port();
         settings.cookie.watch_wait_ms = 500;
         settings.cookie.stop_grace_s = 2.0;
+        adapt(&mut settings);
         let file = Path::new("none.toml");
         let daemon = CookieDaemon::start(file, settings, Log::discard()).unwrap();
         let http = daemon.http_address().unwrap();
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -356,6 +356,38 @@
         /// Time since the probe was asked for, in milliseconds.
         asked_ms: u64,
     }
+    /// Another balancer's view was taken, since the store does not answer.
+    715 Warning SnapshotTaken {
+        /// The other balancer.
+        peer: SocketAddr,
+        /// Version of its manifest.
+        manifest: u64,
+        /// Revision of its targets.
+        revision: u64,
+        /// Targets that it lists.
+        targets: usize,
+        /// Time since the store confirmed them to it, in milliseconds.
+        age_ms: u64,
+    }
+    /// Another balancer did not answer, or with something that can't be used.
+    716 Warning PeerLost {
+        /// The other balancer.
+        peer: SocketAddr,
+        /// The error.
+        error: String,
+    }
+    /// Another balancer answers again.
+    717 Info PeerBack {
+        /// The other balancer.
+        peer: SocketAddr,
+    }
+    /// A question from another balancer can't be read, or its tag does not fit.
+    718 Warning PeerRejected {
+        /// What is wrong with it.
+        error: String,
+        /// Such events held back since the last line of this number.
+        skipped: u64,
+    }
     /// This balancer asks the routers for packets, or to send none.
     712 Info ReadinessChanged {
         /// Whether it takes packets.
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -14,9 +14,6 @@
     TokenBucket, Vm, Written,
 };
 
-/// Largest body of an answer that is read, in bytes.
-const MAX_ANSWER_BYTES: u64 = 256 << 20;
-
 /// A client; one is shared by all threads of a process.
 ///
 /// A call is sent at most once: what to repeat, and when, is the caller's
@@ -50,7 +47,7 @@
     pub fn get(&self, key: &str) -> Result<Option<Object>> {
         self.pace()?;
         let req = self.agent.get(self.url(&format!("objects/{key}")));
-        match receive(self.prepared(req, self.cfg.call_timeout).call()) {
+        match self.receive(self.prepared(req, self.cfg.call_timeout).call()) {
             Ok(object) => Ok(Some(object)),
             Err(Error::Invalid { status: 404 }) => Ok(None),
             Err(e) => Err(e),
@@ -63,7 +60,8 @@
         self.pace()?;
         let req = self.agent.put(self.url(&format!("objects/{key}")));
         let req = with_expect(req, expect).header("Content-Type", "application/json");
-        let written: Written = receive(self.prepared(req, self.cfg.call_timeout).send(&body))?;
+        let written: Written =
+            self.receive(self.prepared(req, self.cfg.call_timeout).send(&body))?;
         Ok(written.revision)
     }
 
@@ -72,7 +70,7 @@
         self.pace()?;
         let req = self.agent.delete(self.url(&format!("objects/{key}")));
         let req = with_expect(req, expect);
-        let written: Written = receive(self.prepared(req, self.cfg.call_timeout).call())?;
+        let written: Written = self.receive(self.prepared(req, self.cfg.call_timeout).call())?;
         Ok(written.revision)
     }
 
@@ -80,7 +78,7 @@
     pub fn list(&self, prefixes: &[&str]) -> Result<Listing> {
         self.pace()?;
         let url = self.url(&format!("list?{}", query(prefixes)));
-        receive(
+        self.receive(
             self.prepared(self.agent.get(url), self.cfg.call_timeout)
                 .call(),
         )
@@ -93,14 +91,14 @@
         let prefixes = query(prefixes);
         let url = self.url(&format!("watch?{prefixes}after={after}&wait_ms={wait_ms}"));
         let timeout = wait + self.cfg.call_timeout;
-        receive(self.prepared(self.agent.get(url), timeout).call())
+        self.receive(self.prepared(self.agent.get(url), timeout).call())
     }
 
     /// The platform's list of VMs, which lags.
     pub fn vms(&self) -> Result<Vec<Vm>> {
         self.pace()?;
         let req = self.agent.get(self.url("vms"));
-        receive(self.prepared(req, self.cfg.call_timeout).call())
+        self.receive(self.prepared(req, self.cfg.call_timeout).call())
     }
 
     /// Makes one call with a path of the caller's and returns the answer as it
@@ -126,7 +124,7 @@
             .configure_request(req)
             .timeout_global(Some(timeout))
             .build();
-        read_reply(self.agent.run(req))
+        read_reply(self.agent.run(req), self.cfg.max_answer_bytes)
     }
 
     /// Adds the time limit and the token.
@@ -138,6 +136,18 @@
         }
     }
 
+    fn receive<T: DeserializeOwned>(
+        &self,
+        answer: Result<Response<Body>, ureq::Error>,
+    ) -> Result<T> {
+        let reply = read_reply(answer, self.cfg.max_answer_bytes)?;
+        parse(RawAnswer {
+            status: reply.status,
+            retry_after: reply.retry_after.as_deref(),
+            body: &reply.body,
+        })
+    }
+
     fn pace(&self) -> Result<()> {
         let now = self.cfg.clock.now();
         let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
@@ -174,22 +184,13 @@
     }
 }
 
-fn receive<T: DeserializeOwned>(answer: Result<Response<Body>, ureq::Error>) -> Result<T> {
-    let reply = read_reply(answer)?;
-    parse(RawAnswer {
-        status: reply.status,
-        retry_after: reply.retry_after.as_deref(),
-        body: &reply.body,
-    })
-}
-
-fn read_reply(answer: Result<Response<Body>, ureq::Error>) -> Result<Reply> {
+fn read_reply(answer: Result<Response<Body>, ureq::Error>, most: u64) -> Result<Reply> {
     let mut answer = answer.map_err(transport_error)?;
     let status = answer.status().as_u16();
     let body = answer
         .body_mut()
         .with_config()
-        .limit(MAX_ANSWER_BYTES)
+        .limit(most)
         .read_to_vec()
         .map_err(|e| Error::NoAnswer {
             reason: e.to_string(),
--- a/crates/platform/src/client_config.rs
+++ b/crates/platform/src/client_config.rs
@@ -19,6 +19,8 @@
     pub calls_per_second: f64,
     /// Most calls at once after a quiet time.
     pub burst: f64,
+    /// Largest body of an answer that is read, in bytes.
+    pub max_answer_bytes: u64,
     /// The token that the platform asks for.
     pub token: Option<String>,
     /// The clock for the rate of calls.
@@ -33,6 +35,7 @@
             call_timeout: Duration::from_secs(2),
             calls_per_second: 20.0,
             burst: 40.0,
+            max_answer_bytes: 256 << 20,
             token: None,
             clock: Arc::new(SystemClock::new()),
         }
--- a/crates/platform/src/token_bucket.rs
+++ b/crates/platform/src/token_bucket.rs
@@ -28,12 +28,18 @@
 
     /// Takes one token, or says how long until there is one.
     pub fn take(&mut self, now: Duration) -> Result<(), Duration> {
+        self.take_many(now, 1.0)
+    }
+
+    /// Takes so many tokens at once, or says how long until there are as many.
+    /// More than the burst are never there.
+    pub fn take_many(&mut self, now: Duration, tokens: f64) -> Result<(), Duration> {
         self.refill(now);
-        if self.tokens >= 1.0 {
-            self.tokens -= 1.0;
+        if self.tokens >= tokens {
+            self.tokens -= tokens;
             return Ok(());
         }
-        let missing = 1.0 - self.tokens;
+        let missing = tokens - self.tokens;
         Err(Duration::from_secs_f64(missing / self.rate.max(1e-3)))
     }
 
--- a/crates/settings/src/cookie.rs
+++ b/crates/settings/src/cookie.rs
@@ -14,6 +14,8 @@
         http_listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 7501)), "an IP address and port", check::socket;
         /// A further address of the same, for collectors that know no other port. Without it: none.
         metrics_listen: Option<SocketAddr> = None, "an IP address and port", check::socket;
+        /// Address where other balancers ask for news while the store does not answer them; `peers.seeds` names such addresses of others, `peers.key` signs. Without it: none are asked or answered.
+        peers_listen: Option<SocketAddr> = None, "an IP address and port", check::socket;
         /// Path of readiness.
         readiness_path: String = "/readiness".into(), "text that begins with `/`", check::path;
         /// Port of callers that resets are sent to; 0 means the port of `data.listen`.
--- a/crates/settings/src/peers.rs
+++ b/crates/settings/src/peers.rs
@@ -16,9 +16,9 @@
         relay_port: u16 = 7102, "0 to 65535", check::number::<0, 65_535>;
         /// TCP port for bulk transfer; 0 takes a free one.
         bulk_port: u16 = 7103, "0 to 65535", check::number::<0, 65_535>;
-        /// Control addresses of balancers to start from.
+        /// Control addresses of balancers to start from; with flow cookies, their `cookie.peers_listen`.
         seeds: Vec<SocketAddr> = Vec::new(), "a list of IP addresses with ports", check::sockets;
-        /// Secret shared by all balancers, which signs their messages. Empty: a balancer without others.
+        /// Secret shared by all balancers, which signs their messages. Empty: a balancer without others; with flow cookies, unsigned messages.
         key: String = String::new(), "empty, or at least 16 bytes", check::secret;
         /// Budget of control traffic, in bytes a second with IP and UDP headers.
         control_bytes_per_s: u32 = 3_000, "500 to 10000000", check::number::<500, 10_000_000>;
--- a/crates/soak/src/balancers.rs
+++ b/crates/soak/src/balancers.rs
@@ -13,6 +13,11 @@
 use crate::error::{FileSnafu, Result, SocketSnafu, StartSnafu};
 use crate::proxy::Proxy;
 
+/// Balancers that all others know from their settings.
+const SEEDS: usize = 3;
+/// The key that balancers share.
+const KEY: &str = "a key of the soak's balancers";
+
 /// One balancer, which keeps its addresses when it is started again.
 pub(crate) struct Balancer {
     program: PathBuf,
@@ -35,6 +40,7 @@
         store: SocketAddr,
         caller_port: u16,
         ports: &mut Ports,
+        peers: &[SocketAddr],
     ) -> Result<Balancer> {
         let link = Proxy::start(store).context(SocketSnafu)?;
         let mut balancer = Balancer {
@@ -47,7 +53,7 @@
             child: None,
             own_ends: 0,
         };
-        let text = balancer.settings(number, caller_port);
+        let text = balancer.settings(number, caller_port, peers);
         fs::write(&balancer.file, text).context(FileSnafu {
             file: &balancer.file,
         })?;
@@ -55,17 +61,23 @@
         Ok(balancer)
     }
 
-    fn settings(&self, number: usize, caller_port: u16) -> String {
+    fn settings(&self, number: usize, caller_port: u16, peers: &[SocketAddr]) -> String {
+        let seeds = peers.iter().take(SEEDS).map(|p| format!("\"{p}\""));
+        let seeds: Vec<String> = seeds.collect();
         format!(
             "[node]\nname = \"balancer-{number}\"\n\
              [data]\nformat = \"cookie\"\nlisten = \"{}\"\n\
              [platform]\nendpoint = \"{}\"\n\
              [cookie]\nfailure_domain = \"a\"\nhttp_listen = \"{}\"\n\
              readiness_path = \"/sequoiatrail/readiness\"\ncaller_port = {caller_port}\n\
-             watch_wait_ms = 1000\nstop_grace_s = 4.0\n[log]\nformat = \"json\"\n",
+             peers_listen = \"{}\"\n\
+             watch_wait_ms = 1000\nstop_grace_s = 4.0\n\
+             [peers]\nkey = \"{KEY}\"\nseeds = [{}]\n[log]\nformat = \"json\"\n",
             self.packets,
             self.link.addr(),
             self.readiness,
+            peers[number],
+            seeds.join(","),
         )
     }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -119,10 +119,11 @@
         let targets = Targets::start(&store, callers.port(), runs)?;
         let mut ports = Ports::new();
         let numbers = 0..settings.balancers;
+        let peers: Vec<_> = numbers.clone().map(|_| ports.free()).collect();
         let balancers: Result<Vec<Balancer>> = numbers
             .map(|n| {
                 let (store, port) = (store.addr(), callers.port());
-                Balancer::start(n, &settings.program, logs, store, port, &mut ports)
+                Balancer::start(n, &settings.program, logs, store, port, &mut ports, &peers)
             })
             .collect();
         Ok(Run {
