feat: part of the new flows is refused while targets can't keep up

Cause: with more requests than all targets of a service work on, every flow was let in. Queues of the targets filled, nearly every answer came late, callers tried again after the targets' rejections and added to the load.

Change: the time of each answer, as the caller's packets show it, is compared with its route's latency goal. While more than a fifth takes longer than 0.75 of the goal and twice the shortest answer lately, a growing share of new flows is reset at once, before anything is sent on them; a quarter as many on the most urgent route in use. What was sent twice (loss) or held up by a pause says nothing. The manifest's latency goals and priorities are decoded for it. Begin and end are told in the log (719), each refusal by its reason (overloaded).

Whole workspace's tests pass.

--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -10,6 +10,7 @@
 use crate::attempts::Attempts;
 use crate::directory::{TargetChange, TargetNews};
 use crate::effects::Pending;
+use crate::overload::Overload;
 use crate::routes::Taken;
 use crate::silence::doubt;
 use crate::unknown::UnknownCookies;
@@ -28,6 +29,7 @@
     pub(crate) flows: Flows,
     pub(crate) attempts: Attempts,
     pub(crate) unknown: UnknownCookies,
+    pub(crate) overload: Overload,
     pub(crate) pending: Pending,
     pub(crate) split: FixedState,
     /// Opening packets are dropped until then: a pause held them up.
@@ -46,6 +48,7 @@
             flows: Flows::default(),
             attempts: Attempts::default(),
             unknown: UnknownCookies::default(),
+            overload: Overload::default(),
             pending: Pending::default(),
             split: FixedState::with_seed(SPLIT_SEED),
             held_up_until: Duration::ZERO,
@@ -68,6 +71,12 @@
         self.routes.version() > 0 && self.directory.is_loaded()
     }
 
+    /// Share of the new flows of a service that is refused because its targets
+    /// can't keep up.
+    pub fn refused_share(&self, now: Duration, service: &str) -> f64 {
+        self.overload.refused(now, service)
+    }
+
     /// Whether every target that could take flows is silent: this VM is cut off
     /// from them, and others may not be.
     pub fn is_isolated(&self) -> bool {
@@ -136,6 +145,8 @@
             self.unload(flow);
         }
         self.attempts.sweep(now);
+        let overloads = self.overload.take_changes(now);
+        self.pending.overloads.extend(overloads);
         self.unknown.sweep(now, self.cfg.flow_max_age);
         let keep = self.cfg.flow_max_age + idle;
         let news = self.directory.sweep(now, keep);
--- a/crates/cookie/src/config.rs
+++ b/crates/cookie/src/config.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::{HealthConfig, PlaceConfig};
+use crate::{HealthConfig, OverloadConfig, PlaceConfig};
 
 /// Settings of a [`crate::Balancer`].
 #[derive(Clone, Debug)]
@@ -20,6 +20,8 @@
     /// Time for which packets with an unknown cookie are dropped, before their
     /// flow is reset: another balancer may have learned of the target earlier.
     pub unknown_grace: Duration,
+    /// Refusal of new flows while targets can't keep up.
+    pub overload: OverloadConfig,
     /// Choice of targets.
     pub place: PlaceConfig,
     /// Detection of silent targets.
@@ -34,6 +36,7 @@
             flow_max_age: Duration::from_secs(60),
             max_flows: 200_000,
             unknown_grace: Duration::from_secs(2),
+            overload: OverloadConfig::default(),
             place: PlaceConfig::default(),
             health: HealthConfig::default(),
         }
--- a/crates/cookie/src/decide.rs
+++ b/crates/cookie/src/decide.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::RngExt;
+
 use crate::decision::{Decision, DropReason, PlaceReason, ResetReason};
 use crate::directory::Target;
 use crate::flows::Flow;
@@ -46,6 +48,9 @@
                 doubt(&self.cfg, &mut self.pending, now, target);
             }
         }
+        if seg.ack == 0 && self.refuses(now, &service, seg) {
+            return reset(seg, ResetReason::Overloaded);
+        }
         let avoid = match earlier.filter(|_| copy) {
             Some(flow) => Some(flow.target),
             None => self.attempts.failed(now, &seg.flow),
@@ -61,6 +66,16 @@
         self.forward(key, Some(seg), reason)
     }
 
+    /// Whether the service's targets can't keep up, and this flow is among those
+    /// that are turned away for it.
+    fn refuses(&mut self, now: Duration, service: &str, seg: &Segment) -> bool {
+        let Some(route) = self.routes.get(seg.flow.route) else {
+            return false;
+        };
+        let point = self.rng.random();
+        !self.overload.admits(now, service, route.priority, point)
+    }
+
     /// The network delivered the same copy twice.
     fn repeat_opening(
         &mut self,
--- a/crates/cookie/src/decision.rs
+++ b/crates/cookie/src/decision.rs
@@ -30,6 +30,8 @@
     RouteRemoved,
     /// No target of the service takes new flows.
     NoTarget,
+    /// The targets of the service can't keep up; nothing was sent on the flow.
+    Overloaded,
     /// The flow's target has left or died.
     TargetGone,
     /// The flow's target has been silent on all its flows.
--- a/crates/cookie/src/effects.rs
+++ b/crates/cookie/src/effects.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use crate::{FlowId, ResetReason, TargetId};
+use crate::{FlowId, OverloadChange, ResetReason, TargetId};
 
 /// Most resets that are handed out at once; the others follow.
 const RESETS_AT_ONCE: usize = 256;
@@ -47,6 +47,8 @@
 pub struct Effects {
     /// Targets that began to be avoided.
     pub suspicions: Vec<Suspicion>,
+    /// Services whose new flows began or ceased to be refused.
+    pub overloads: Vec<OverloadChange>,
     /// Probes to make.
     pub probes: Vec<ProbeOrder>,
     /// Flows to reset.
@@ -56,7 +58,10 @@
 impl Effects {
     /// Whether there is nothing to do.
     pub fn is_empty(&self) -> bool {
-        self.suspicions.is_empty() && self.probes.is_empty() && self.resets.is_empty()
+        self.suspicions.is_empty()
+            && self.overloads.is_empty()
+            && self.probes.is_empty()
+            && self.resets.is_empty()
     }
 }
 
@@ -64,6 +69,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pending {
     pub suspicions: Vec<Suspicion>,
+    pub overloads: Vec<OverloadChange>,
     pub probes: Vec<ProbeOrder>,
     pub resets: VecDeque<FlowReset>,
 }
@@ -74,6 +80,7 @@
         let resets = self.resets.len().min(RESETS_AT_ONCE);
         Effects {
             suspicions: std::mem::take(&mut self.suspicions),
+            overloads: std::mem::take(&mut self.overloads),
             probes: std::mem::take(&mut self.probes),
             resets: self.resets.drain(..resets).collect(),
         }
--- a/crates/cookie/src/manifest.rs
+++ b/crates/cookie/src/manifest.rs
@@ -22,6 +22,12 @@
     pub shares: Vec<Share>,
     /// Whether a request may be sent again after it may have run.
     pub idempotent: bool,
+    /// Time within which a request is to be answered; `None` if it has none.
+    #[serde(default)]
+    pub latency_goal: Option<Duration>,
+    /// Urgency; 0 is the most urgent.
+    #[serde(default)]
+    pub priority: u32,
 }
 
 /// All routes of one version.
--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::flows::Flow;
+use crate::overload::Answer;
 use crate::silence::doubt;
 use crate::{Balancer, FlowId, Segment, TargetKey};
 
@@ -31,7 +32,21 @@
             self.attempts.answered(&seg.flow);
         }
         if answered {
+            // What was sent twice may have been lost: it tells nothing of the load.
+            let timed = flow.busy && !flow.stuck;
             target.load.settle(&mut flow);
+            let route = self.routes.get(seg.flow.route).filter(|_| timed);
+            if let Some((goal, priority)) = route.and_then(|r| Some((r.latency_goal?, r.priority)))
+            {
+                let answer = Answer {
+                    goal,
+                    priority,
+                    took: now.saturating_sub(flow.sent),
+                };
+                let service = &target.entry.service;
+                let cfg = &self.cfg.overload;
+                self.overload.answered(cfg, now, service, answer);
+            }
         }
         if repeated {
             target.health.repeated(now, flow.sent, &self.cfg.health);
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -53,6 +53,7 @@
     /// long gone on from those that open flows.
     pub fn forget_evidence(&mut self, now: Duration) {
         self.held_up_until = now + HELD_UP;
+        self.overload.forget_evidence();
         for target in self.directory.iter_mut() {
             target.health.forget_evidence(now);
         }
--- a/crates/cookie/tests/common/mod.rs
+++ b/crates/cookie/tests/common/mod.rs
@@ -45,6 +45,8 @@
         address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port),
         shares: services.iter().map(share).collect(),
         idempotent: port != ONCE,
+        latency_goal: Some(ms(150)),
+        priority: 1,
     }
 }
 
--- a/crates/daemon/src/cookie/outlet.rs
+++ b/crates/daemon/src/cookie/outlet.rs
@@ -46,6 +46,12 @@
         for suspicion in &effects.suspicions {
             self.log_suspicion(suspicion);
         }
+        for change in &effects.overloads {
+            self.shared.log.emit(Event::ServiceOverloaded {
+                service: change.service.to_string(),
+                refused_percent: change.refused_percent,
+            });
+        }
         for reset in &effects.resets {
             self.counters.add(Count::Reset, 1);
             self.reset(now, &reset.flow, reset.acked, reset.reason);
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -388,6 +388,13 @@
         /// Such events held back since the last line of this number.
         skipped: u64,
     }
+    /// Answers of a service come late, so that a part of its new flows is refused; 0: no longer.
+    719 Warning ServiceOverloaded {
+        /// The service.
+        service: String,
+        /// Part of its less urgent new flows that is refused, in percent.
+        refused_percent: u32,
+    }
     /// This balancer asks the routers for packets, or to send none.
     712 Info ReadinessChanged {
         /// Whether it takes packets.
