--- a/crates/cookie/src/decide.rs
+++ b/crates/cookie/src/decide.rs
@@ -48,7 +48,9 @@
                 doubt(&self.cfg, &mut self.pending, now, target);
             }
         }
-        if seg.ack == 0 && self.refuses(now, &service, seg) {
+        // A copy is never refused: the one before may have opened the flow.
+        let first = seg.ack == 0 && earlier.is_none();
+        if first && self.refuses(now, &service, seg) {
             return reset(seg, ResetReason::Overloaded);
         }
         let avoid = match earlier.filter(|_| copy) {
--- a/crates/cookie/tests/overload.rs
+++ b/crates/cookie/tests/overload.rs
@@ -331,3 +331,26 @@
     world.balancer.forget_evidence(world.now);
     assert_eq!(world.balancer.refused_share(world.now, "app"), 0.0);
 }
+
+#[test]
+fn no_copy_of_an_opening_packet_is_refused() {
+    let mut replay = Replay::new(OverloadConfig::default());
+    replay.load(0.45, ms(3_000), &[REPEATABLE]);
+    replay.load(1.4, ms(3_000), &[REPEATABLE]);
+    let mut world = replay.world;
+    let mut refused = 0;
+    for caller in 30_000..30_100 {
+        let first = world.decide(syn(caller, REPEATABLE, 0));
+        if first == Decision::Reset(ResetReason::Overloaded) {
+            refused += 1;
+            continue;
+        }
+        forwarded(world.decide(syn(caller, REPEATABLE, 0)));
+        forwarded(world.decide(syn(caller, REPEATABLE, 1)));
+    }
+    assert!(refused > 0);
+    // The first was lost on its way, or went through another balancer.
+    for caller in 31_000..31_100 {
+        forwarded(world.decide(syn(caller, REPEATABLE, 1)));
+    }
+}
--- a/crates/settings/src/data.rs
+++ b/crates/settings/src/data.rs
@@ -31,7 +31,7 @@
 section! {
     /// Packets from the fabric and to the targets.
     "data" DataSettings {
-        /// Form of the packets. With `cookie`, the section `cookie` applies, and `peers`, `health` and `admin` do not.
+        /// Form of the packets. With `cookie`, the section `cookie` applies; of `peers` only `seeds` and `key` do, `health` and `admin` do not.
         format: Format = Format::Ip, "ip, cookie", check::parsed::<Format>;
         /// Address and UDP port at which the fabric delivers packets, each as the payload of a datagram.
         listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 7000)), "an IP address and port", check::socket;
