feat: the last balancers of a failure domain step aside

Cause: routers that find fewer than half of a failure domain's balancers ready send its packets to all of them, dead ones included; if none is ready, to other domains. With one of three left, two thirds of its callers' flows were lost for as long as the others were down.

Change: each balancer asks one of its failure domain every 0.5 s, and each that fails every 0.05 s. While fewer than half of its domain, itself included, could take packets and at least half of another domain's could, it tells the routers that it is not ready; what reaches it is served on. One that does not answer for 20 s counts as removed. In domains of up to seven balancers.

Whole workspace's tests pass.

--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -84,6 +84,11 @@
         usable.peek().is_some() && usable.all(|t| t.health.is_silent())
     }
 
+    /// Failure domain of this VM.
+    pub fn domain(&self) -> Arc<str> {
+        Arc::clone(&self.cfg.domain)
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> &Routes {
         &self.routes
--- a/crates/cookie/src/lib.rs
+++ b/crates/cookie/src/lib.rs
@@ -40,7 +40,7 @@
 pub use load::Load;
 pub use manifest::{Manifest, Route, Share};
 pub use overload::{OverloadChange, OverloadConfig};
-pub use peers::{PeerChange, Peers, PeersConfig};
+pub use peers::{PeerChange, PeerName, Peers, PeersConfig};
 pub use place::{Candidate, PlaceConfig, choose};
 pub use routes::{Routes, Taken};
 pub use segment::{Cookie, Flags, FlowId, Segment};
--- a/crates/cookie/tests/peers.rs
+++ b/crates/cookie/tests/peers.rs
@@ -7,77 +7,176 @@
 
 use common::{REPEATABLE, World, data, entry, forwarded, ms};
 use sequoiatrail_cookie::{
-    PeerChange, Peers, PeersConfig, SnapshotError, Taken, TargetChange, TargetId, TargetNews,
+    PeerChange, PeerName, Peers, PeersConfig, SnapshotError, Taken, TargetChange, TargetId,
+    TargetNews,
 };
 
 fn address(number: u8) -> SocketAddr {
     ([10, 0, 0, number], 8_166).into()
 }
 
-fn peers(own: u8, seeds: &[u8]) -> Peers {
+fn name(number: u8, domain: &str) -> PeerName {
+    PeerName {
+        address: address(number),
+        domain: domain.into(),
+    }
+}
+
+/// Peers of balancer 1 in failure domain `a`.
+fn peers(seeds: &[u8]) -> Peers {
     let seeds: Vec<SocketAddr> = seeds.iter().map(|n| address(*n)).collect();
-    Peers::new(PeersConfig::default(), address(own), &seeds, 7)
+    Peers::new(PeersConfig::default(), name(1, "a"), &seeds, 7)
 }
 
-/// Everybody asked within a time, in order; nobody answers.
-fn asked(peers: &mut Peers, from: Duration, time: Duration, urgent: bool) -> Vec<SocketAddr> {
-    let steps = time.as_millis() as u64 / 20;
-    let times = (0..steps).map(|n| from + ms(20 * n));
-    times.filter_map(|now| peers.next(now, urgent)).collect()
+/// Everybody asked within a time, in order; those that `answers` lists answer.
+fn asked(
+    peers: &mut Peers,
+    from: Duration,
+    time: Duration,
+    urgent: bool,
+    answers: &[PeerName],
+) -> Vec<SocketAddr> {
+    let mut all = Vec::new();
+    for step in 0..time.as_millis() as u64 / 20 {
+        let now = from + ms(20 * step);
+        let Some(peer) = peers.next(now, urgent) else {
+            continue;
+        };
+        all.push(peer);
+        match answers.iter().find(|a| a.address == peer) {
+            Some(name) => peers.answered(name, true, &[]),
+            None => peers.failed(now, peer, now),
+        };
+    }
+    all
 }
 
 #[test]
-fn a_starter_asks_each_seed_soon_and_then_seldom() {
-    let mut peers = peers(1, &[1, 2, 3]);
-    let mut first = asked(&mut peers, ms(0), ms(900), false);
+fn a_starter_asks_each_seed_soon_and_other_domains_seldom() {
+    let mut peers = peers(&[1, 2, 3]);
+    let far = [name(2, "b"), name(3, "c")];
+    let mut first = asked(&mut peers, ms(0), ms(900), false, &far);
     first.sort();
+    first.dedup();
     assert_eq!(first, [address(2), address(3)], "itself is no peer");
-    let later = asked(&mut peers, ms(900), ms(60_000), false);
+    let later = asked(&mut peers, ms(900), ms(60_000), false, &far);
     assert!((8..=24).contains(&later.len()), "{}", later.len());
 }
 
 #[test]
 fn without_the_store_all_are_asked_in_turn_and_those_that_answer_first() {
-    let mut peers = peers(1, &[2, 3]);
-    peers.answered(address(2), &[address(4), address(5), address(1)]);
+    let mut peers = peers(&[2, 3]);
+    let named: Vec<_> = [4, 5, 1].map(|n| name(n, "b")).into();
+    peers.answered(&name(2, "b"), true, &named);
     for silent in [3, 3, 4] {
-        peers.failed(address(silent));
+        peers.failed(ms(0), address(silent), ms(0));
     }
-    let urgent = asked(&mut peers, ms(0), ms(1_150), true);
+    let answers = [name(2, "b"), name(5, "b")];
+    let urgent = asked(&mut peers, ms(0), ms(1_150), true, &answers);
     assert_eq!(urgent.len(), 4);
     assert!(!urgent.contains(&address(3)) && !urgent.contains(&address(4)));
     assert!(urgent.contains(&address(2)) && urgent.contains(&address(5)));
 }
 
 #[test]
-fn a_peer_that_does_not_answer_is_forgotten_unless_it_is_a_seed() {
-    let mut peers = peers(1, &[2]);
-    assert_eq!(peers.answered(address(2), &[address(4)]), None);
-    assert_eq!(peers.failed(address(4)), Some(PeerChange::Lost));
-    assert_eq!(peers.failed(address(4)), None);
-    assert_eq!(peers.answered(address(4), &[]), Some(PeerChange::Back));
-    for _ in 0..3 {
-        peers.failed(address(4));
-        peers.failed(address(2));
+fn a_peer_that_does_not_answer_for_long_is_forgotten_unless_it_is_a_seed() {
+    let mut peers = peers(&[2]);
+    assert_eq!(peers.answered(&name(2, "b"), true, &[name(4, "b")]), None);
+    let fails = |peers: &mut Peers, number, now| peers.failed(now, address(number), now);
+    assert_eq!(fails(&mut peers, 4, ms(0)), Some(PeerChange::Lost));
+    assert_eq!(fails(&mut peers, 4, ms(100)), None);
+    assert_eq!(
+        peers.answered(&name(4, "b"), true, &[]),
+        Some(PeerChange::Back)
+    );
+    for now in [ms(1_000), ms(10_000), ms(22_000)] {
+        fails(&mut peers, 4, now);
+        fails(&mut peers, 2, now);
     }
     assert_eq!(peers.len(), 1);
-    assert_eq!(peers.sample(), [], "a failing peer is not named to others");
+    assert_eq!(
+        peers.sample("b"),
+        [],
+        "a failing peer is not named to others"
+    );
     // A VM that stood still makes itself known again by asking.
-    peers.met(address(4));
-    assert_eq!(peers.sample(), [address(4)]);
+    peers.met(&name(4, "b"));
+    assert_eq!(peers.sample("b"), [name(4, "b")]);
+}
+
+#[test]
+fn the_number_of_peers_is_bounded_and_the_own_domain_goes_first() {
+    let cfg = PeersConfig::default();
+    let mut peers = peers(&[2]);
+    let many: Vec<_> = (3..=250).map(|n| name(n, "b")).collect();
+    peers.answered(&name(2, "b"), true, &many);
+    assert_eq!(peers.len(), cfg.most);
+    peers.met(&name(251, "a"));
+    assert_eq!(peers.len(), cfg.most);
+    let sample = peers.sample("a");
+    assert!(sample.contains(&name(251, "a")));
+    assert!(sample.len() <= 2 * cfg.told);
+}
+
+/// Balancers 1 to 3 in domain `a`, 4 and 5 in `b`; all have answered.
+fn six() -> (Peers, Vec<PeerName>) {
+    let mut peers = peers(&[2, 4]);
+    let all = vec![name(2, "a"), name(3, "a"), name(4, "b"), name(5, "b")];
+    for peer in &all {
+        peers.answered(peer, true, &all);
+    }
+    (peers, all)
+}
+
+#[test]
+fn the_last_of_a_domain_steps_aside_until_another_is_back() {
+    let (mut peers, all) = six();
+    assert!(!peers.is_minority(ms(0)));
+    asked(&mut peers, ms(0), ms(2_500), false, &all[2..]);
+    assert!(peers.is_minority(ms(2_500)));
+    peers.met(&all[0]);
+    peers.answered(&all[0], true, &[]);
+    assert!(!peers.is_minority(ms(2_600)), "two of three are there");
+}
+
+#[test]
+fn nobody_steps_aside_while_no_other_domain_can_take_over() {
+    let (mut peers, _) = six();
+    asked(&mut peers, ms(0), ms(6_000), false, &[]);
+    assert!(!peers.is_minority(ms(6_000)));
+}
+
+#[test]
+fn one_of_two_one_lost_question_and_a_stopping_peer_are_no_reason_to_step_aside() {
+    let (mut peers, all) = six();
+    peers.failed(ms(0), all[0].address, ms(0));
+    peers.failed(ms(0), all[1].address, ms(0));
+    assert!(!peers.is_minority(ms(10)), "each failed once only");
+    let mut two = self::peers(&[2, 4]);
+    two.answered(&name(2, "a"), true, &[]);
+    two.answered(&name(4, "b"), true, &[]);
+    asked(&mut two, ms(0), ms(3_000), false, &all[2..]);
+    assert!(!two.is_minority(ms(3_000)), "half are there");
+    let (mut peers, all) = six();
+    peers.answered(&all[0], false, &[]);
+    assert!(!peers.is_minority(ms(0)), "two of three serve");
+}
+
+#[test]
+fn balancers_that_were_removed_are_not_waited_for() {
+    let (mut peers, all) = six();
+    asked(&mut peers, ms(0), ms(5_000), false, &all[2..]);
+    assert!(peers.is_minority(ms(5_000)));
+    asked(&mut peers, ms(5_000), ms(25_000), false, &all[2..]);
+    assert!(!peers.is_minority(ms(30_000)));
 }
 
 #[test]
-fn the_number_of_peers_is_bounded_and_failing_ones_make_room() {
-    let most = PeersConfig::default().most;
-    let mut peers = peers(1, &[2]);
-    let many: Vec<SocketAddr> = (3..=250).map(address).collect();
-    peers.answered(address(2), &many);
-    assert_eq!(peers.len(), most);
-    assert!(peers.sample().len() <= PeersConfig::default().told);
-    peers.failed(address(3));
-    peers.met(address(251));
-    assert_eq!(peers.len(), most);
+fn a_dead_peer_of_the_own_domain_is_asked_again_soon() {
+    let (mut peers, all) = six();
+    let asked = asked(&mut peers, ms(0), ms(3_000), false, &all[1..]);
+    let dead = asked.iter().filter(|a| **a == address(2)).count();
+    assert!(dead >= 10, "{dead}");
 }
 
 #[test]
--- a/crates/daemon/src/cookie/peers/asker.rs
+++ b/crates/daemon/src/cookie/peers/asker.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use sequoiatrail_cookie::{PeerChange, Snapshot, SnapshotTaken};
+use sequoiatrail_cookie::{PeerChange, PeerName, Snapshot, SnapshotTaken};
 use sequoiatrail_events::Event;
 use sequoiatrail_platform::{Client, ClientConfig, Error, Method};
 
@@ -16,11 +16,13 @@
 use crate::counters::{Count, Counters};
 
 /// Time between two looks at whether somebody is to be asked.
-const LOOK_EVERY: Duration = Duration::from_millis(100);
+const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// Longest time to make a connection; many round trips between failure domains.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Longest time of a question; a snapshot over the slowest link takes less.
-const ASK_TIMEOUT: Duration = Duration::from_millis(1_500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest time of a question without a snapshot.
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time of a question with one, also over the slowest link.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Largest answer, in bytes: a manifest and targets of the largest size.
 const MAX_ANSWER_BYTES: u64 = 4 << 20;
 /// What log lines name as the source of news.
@@ -60,10 +62,13 @@
 
     fn ask(&self, peer: SocketAddr, urgent: bool) {
         self.counters.add(Count::PeerQuestions, 1);
+        let asked = self.shared.clock.now();
         match self.exchange(peer, urgent) {
             Ok(answer) => self.answered(peer, answer),
-            Err(error) => self.failed(peer, error),
+            Err(error) => self.failed(peer, asked, error),
         }
+        let minority = self.known.peers().is_minority(self.shared.clock.now());
+        self.shared.step_aside(minority);
     }
 
     fn exchange(&self, peer: SocketAddr, urgent: bool) -> Result<Answer, String> {
@@ -77,7 +82,12 @@
             clock: Arc::clone(&self.shared.clock),
             ..ClientConfig::default()
         });
-        let reply = client.exchange(Method::POST, PATH, &body, ASK_TIMEOUT);
+        let timeout = if urgent {
+            SNAPSHOT_TIMEOUT
+        } else {
+            ASK_TIMEOUT
+        };
+        let reply = client.exchange(Method::POST, PATH, &body, timeout);
         let reply = reply.map_err(|e: Error| e.to_string())?;
         if reply.status != 200 {
             return Err(format!("status {}", reply.status));
@@ -90,7 +100,10 @@
         let balancer = self.shared.lock();
         let directory = balancer.directory();
         Question {
-            from: self.own,
+            from: PeerName {
+                address: self.own,
+                domain: balancer.domain(),
+            },
             nonce: rand::random(),
             manifest: balancer.routes().version(),
             revision: directory.revision(),
@@ -99,11 +112,17 @@
     }
 
     fn answered(&self, peer: SocketAddr, answer: Answer) {
-        let change = self.known.peers().answered(peer, &answer.peers);
+        let now = self.shared.clock.now();
+        let from = PeerName {
+            address: peer,
+            domain: Arc::clone(&answer.domain),
+        };
+        let mut peers = self.known.peers();
+        let change = peers.answered(&from, answer.serves, &answer.peers);
+        drop(peers);
         if change == Some(PeerChange::Back) {
             self.shared.log.emit(Event::PeerBack { peer });
         }
-        let now = self.shared.clock.now();
         let age = Duration::from_millis(answer.age_ms);
         if let Some(snapshot) = answer.snapshot {
             self.take(now, peer, snapshot, age);
@@ -122,7 +141,7 @@
             targets: news,
         } = match taken {
             Ok(taken) => taken,
-            Err(e) => return self.failed(peer, e.to_string()),
+            Err(e) => return self.failed(peer, now, e.to_string()),
         };
         self.counters.add(Count::SnapshotsTaken, 1);
         self.shared.log.emit(Event::SnapshotTaken {
@@ -138,8 +157,9 @@
         self.shared.list_again();
     }
 
-    fn failed(&self, peer: SocketAddr, error: String) {
-        let change = self.known.peers().failed(peer);
+    fn failed(&self, peer: SocketAddr, asked: Duration, error: String) {
+        let now = self.shared.clock.now();
+        let change = self.known.peers().failed(now, peer, asked);
         if change == Some(PeerChange::Lost) {
             self.shared.log.emit(Event::PeerLost { peer, error });
         }
--- a/crates/daemon/src/cookie/peers/message.rs
+++ b/crates/daemon/src/cookie/peers/message.rs
@@ -3,9 +3,9 @@
 //! A message is a line with its authentication tag in hexadecimal, empty where
 //! the balancers share no key, and JSON after it.
 
-use std::net::SocketAddr;
+use std::sync::Arc;
 
-use sequoiatrail_cookie::Snapshot;
+use sequoiatrail_cookie::{PeerName, Snapshot};
 use sequoiatrail_wire::{Key, TAG_BYTES};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -34,8 +34,8 @@
 /// What a balancer asks another one.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct Question {
-    /// Where the asking balancer takes questions itself.
-    pub from: SocketAddr,
+    /// The asking balancer, by where it takes questions itself.
+    pub from: PeerName,
     /// Number that the answer's tag covers, so that an old answer is not taken.
     pub nonce: u64,
     /// Version of its manifest; 0 for none.
@@ -49,8 +49,12 @@
 /// What a balancer answers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct Answer {
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Whether it could take packets.
+    pub serves: bool,
     /// Some others that answered it.
-    pub peers: Vec<SocketAddr>,
+    pub peers: Vec<PeerName>,
     /// Revision of its targets.
     pub revision: u64,
     /// Time since the store confirmed its targets, in milliseconds.
--- a/crates/daemon/src/cookie/peers/server.rs
+++ b/crates/daemon/src/cookie/peers/server.rs
@@ -6,7 +6,7 @@
 
 use rocket::http::Status;
 use rocket::{Build, Rocket, State, post, routes};
-use sequoiatrail_cookie::{Peers, Snapshot};
+use sequoiatrail_cookie::{PeerName, Peers, Snapshot};
 use sequoiatrail_events::{Event, RateLimit};
 use sequoiatrail_platform::{HttpServer, TokenBucket, http_config};
 use sequoiatrail_wire::Key;
@@ -109,7 +109,7 @@
         let key = self.known.key.as_ref();
         let question: Question = open(key, PATH.as_bytes(), body)?;
         let now = self.shared.clock.now();
-        let mut answer = self.answer_without_snapshot(now, question.from);
+        let mut answer = self.answer_without_snapshot(now, &question.from);
         let context = question.nonce.to_be_bytes();
         answer.snapshot = self.snapshot_for(&question);
         let bytes = seal(key, &context, &answer)?;
@@ -124,16 +124,20 @@
         seal(key, &context, &answer)
     }
 
-    fn answer_without_snapshot(&self, now: Duration, from: SocketAddr) -> Answer {
+    fn answer_without_snapshot(&self, now: Duration, from: &PeerName) -> Answer {
         let named = {
             let mut peers = self.known.peers();
-            let named = peers.sample();
+            let named = peers.sample(&from.domain);
             peers.met(from);
             named
         };
+        let serves = self.shared.could_serve();
+        let balancer = self.shared.lock();
         Answer {
+            domain: balancer.domain(),
+            serves,
             peers: named,
-            revision: self.shared.lock().directory().revision(),
+            revision: balancer.directory().revision(),
             age_ms: self.shared.targets_age(now).as_millis() as u64,
             snapshot: None,
         }
--- a/crates/daemon/src/cookie/shared.rs
+++ b/crates/daemon/src/cookie/shared.rs
@@ -30,6 +30,8 @@
 const START_LIMIT: Duration = Duration::from_millis(400);
 /// Why packets are asked for.
 const READY: &str = "manifest and targets are known";
+/// Why no packets are asked for although they could be served.
+const ASIDE: &str = "most balancers of the failure domain are down";
 
 /// Limits of log lines.
 pub(super) struct Lines {
@@ -72,6 +74,8 @@
     store: Mutex<Arc<Client>>,
     /// Times of handling packets; set once the metrics are served.
     pub handling: OnceLock<Histogram<f64>>,
+    /// Whether others can serve the callers of this failure domain better.
+    aside: AtomicBool,
     /// Set by the first stop signal.
     stopping: AtomicBool,
     /// Set when all threads have to end.
@@ -108,6 +112,7 @@
             counters: Arc::default(),
             lines: Lines::default(),
             handling: OnceLock::new(),
+            aside: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             targets_confirmed_ms: AtomicU64::new(0),
@@ -159,9 +164,23 @@
         if balancer.is_isolated() {
             return "no target can be reached";
         }
+        if self.aside.load(Ordering::Acquire) {
+            return ASIDE;
+        }
         READY
     }
 
+    /// Whether packets would be asked for if the other balancers of the failure
+    /// domain were there.
+    pub fn could_serve(&self) -> bool {
+        matches!(self.readiness(), READY | ASIDE)
+    }
+
+    /// Asks for no packets while most balancers of the failure domain are down.
+    pub fn step_aside(&self, aside: bool) {
+        self.aside.store(aside, Ordering::Release);
+    }
+
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Release);
     }
--- a/crates/daemon/src/cookie/start.rs
+++ b/crates/daemon/src/cookie/start.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use sequoiatrail_adapter::Kind;
-use sequoiatrail_cookie::{Balancer, Config, Peers, PeersConfig};
+use sequoiatrail_cookie::{Balancer, Config, PeerName, Peers, PeersConfig};
 use sequoiatrail_events::{Event, Log};
 use sequoiatrail_settings::Settings;
 use sequoiatrail_types::{Clock, SystemClock};
@@ -111,7 +111,11 @@
             })?),
         };
         let cfg = PeersConfig::default();
-        let peers = Peers::new(cfg, listen, &settings.peers.seeds, rand::random());
+        let own = PeerName {
+            address: listen,
+            domain: self.shared.lock().domain(),
+        };
+        let peers = Peers::new(cfg, own, &settings.peers.seeds, rand::random());
         let known = Arc::new(Known::new(peers, key));
         let server = peers::start(&self.shared, &known, listen)?;
         let asker = Asker::new(Arc::clone(&self.shared), known, server.addr());
--- a/crates/daemon/tests/cookie_peers.rs
+++ b/crates/daemon/tests/cookie_peers.rs
@@ -55,6 +55,33 @@
     });
 }
 
+#[test]
+fn the_last_balancer_of_a_failure_domain_steps_aside_until_another_is_back() {
+    let (platform, _) = platform();
+    let _app = platform.target(0x11, "app");
+    let mut ports = Ports::new();
+    let addresses: Vec<SocketAddr> = (0..4).map(|_| ports.free()).collect();
+    let start = |number: usize, domain: &str| {
+        platform.balancer_with(|settings| {
+            settings.cookie.peers_listen = Some(addresses[number]);
+            settings.cookie.failure_domain = domain.into();
+            settings.peers.seeds = addresses.clone();
+            settings.peers.key = KEY.into();
+        })
+    };
+    let mut near: Vec<_> = (0..3).map(|n| start(n, "a")).collect();
+    let far = start(3, "b");
+    platform.wait_ready(4);
+    // Each has asked each seed by then.
+    std::thread::sleep(Duration::from_millis(2_500));
+    near.truncate(1);
+    wait_for("the last one steps aside", || !near[0].is_ready());
+    assert!(far.is_ready());
+    near.push(start(1, "a"));
+    wait_for("it serves again beside another", || near[0].is_ready());
+    wait_for("the other serves too", || near[1].is_ready());
+}
+
 #[test]
 fn a_balancer_with_another_key_is_told_nothing() {
     let (platform, seeds) = platform();
