refactor: readiness, the fake fabric's traffic and delivery in files of their own

Cause: crates/core/tests/common/mod.rs had 558 lines of three jobs, and the daemon's shared state had grown by readiness and its reasons. Two questions a second to every balancer also came to more bytes than a large fleet's budget allows, for nothing: only domains of three to seven act on the answers.

Change: moved, not changed: rows, plans and packets of the core's tests to traffic.rs, what is under way to delivery.rs (329, 115 and 138 lines); readiness to cookie/readiness.rs. Failure domains of other sizes are not watched; an answer names up to four peers of each kind in place of eight.

Shown: whole workspace's tests passed on the moves; on the change of watching the cookie crate's tests and the daemon's cookie_peers and cookie_path.

--- a/crates/cookie/src/peers.rs
+++ b/crates/cookie/src/peers.rs
@@ -21,9 +21,10 @@
 /// Settings of [`Peers`].
 #[derive(Clone, Copy, Debug)]
 pub struct PeersConfig {
-    /// Mean time between two questions to balancers of other failure domains.
+    /// Mean time between two questions to any balancer.
     pub calm: Duration,
-    /// Time between two questions to balancers of the own failure domain.
+    /// Time between two questions to balancers of the own failure domain, if they
+    /// are few.
     pub watch: Duration,
     /// Time between two questions while the store does not answer, or while a seed
     /// was never asked.
@@ -35,7 +36,7 @@
     pub most: usize,
     /// Failures in a row from which a peer is down.
     pub down_after: u32,
-    /// Most peers of the own failure domain with which it is judged whether most
+    /// Most peers of the own failure domain with which it is watched whether most
     /// are down: all have to find out, and the same, within a second or two.
     pub few: usize,
     /// Time without an answer after which a peer that is no seed is forgotten: it
@@ -57,7 +58,7 @@
             down_after: 2,
             few: 6,
             forget_after: Duration::from_secs(20),
-            told: 8,
+            told: 4,
         }
     }
 }
@@ -170,8 +171,9 @@
         } else if now >= self.calm_at {
             let calm = self.cfg.calm;
             self.calm_at = now + calm / 2 + calm.mul_f64(self.rng.random());
-            let own = Arc::clone(&self.own.domain);
-            self.pick(|peer| !peer.is_in(&own), |peer| peer.asked)
+            self.pick(|_| true, |peer| peer.asked)
+        } else if !self.watches_domain() {
+            None
         } else {
             let own = Arc::clone(&self.own.domain);
             self.pick(|peer| peer.is_in(&own), |peer| peer.asked)
@@ -258,7 +260,7 @@
         let known = self.known.values();
         let known = known.filter(|p| p.serves.is_some() && !self.is_forgotten(now, p));
         let (near, far): (Vec<&Peer>, Vec<&Peer>) = known.partition(|p| p.is_in(&self.own.domain));
-        if near.len() > self.cfg.few {
+        if !self.watches_domain() {
             return false;
         }
         let serves = |p: &&Peer| p.serves == Some(true) && p.failures < self.cfg.down_after;
@@ -271,8 +273,18 @@
         peer.failures > 0 && now >= peer.failing_since + self.cfg.forget_after
     }
 
+    /// Whether it matters who of the own failure domain is down: of two balancers
+    /// one is half, and of many too few would step aside at the same time.
+    fn watches_domain(&self) -> bool {
+        let near = self.known.values().filter(|p| p.is_in(&self.own.domain));
+        (2..=self.cfg.few).contains(&near.count())
+    }
+
     /// Whether a peer of the own failure domain did not answer lately.
     fn is_alarmed(&self, now: Duration) -> bool {
+        if !self.watches_domain() {
+            return false;
+        }
         let near = self.known.values().filter(|p| p.is_in(&self.own.domain));
         let mut failing = near.filter(|p| p.failures > 0 && !self.is_forgotten(now, p));
         failing.next().is_some()
--- a/crates/cookie/tests/peers.rs
+++ b/crates/cookie/tests/peers.rs
@@ -171,6 +171,17 @@
     assert!(!peers.is_minority(ms(30_000)));
 }
 
+#[test]
+fn a_large_domain_is_not_watched() {
+    let mut peers = peers(&[2]);
+    let near: Vec<_> = (3..40).map(|n| name(n, "a")).collect();
+    peers.answered(&name(2, "a"), true, &near);
+    peers.answered(&name(100, "b"), true, &[]);
+    let asked = asked(&mut peers, ms(0), ms(20_000), false, &[]);
+    assert!(asked.len() <= 12, "{}", asked.len());
+    assert!(!peers.is_minority(ms(20_000)));
+}
+
 #[test]
 fn a_dead_peer_of_the_own_domain_is_asked_again_soon() {
     let (mut peers, all) = six();
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,133 +1,25 @@
 //! A small fake fabric: several cores, a queue of what is under way, a clock.
 #![allow(dead_code)]
 
+mod delivery;
+mod traffic;
+
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sequoiatrail_core::{Action, Core, CoreConfig, Decision, Event, Peer, Via};
-use sequoiatrail_packet::{Packet, TcpFacts};
-use sequoiatrail_plan::{Factors, Plan, WeightedTarget, repair};
-use sequoiatrail_table::{EditId, Row, Table, TargetState};
-use sequoiatrail_types::{
-    FailureDomain, FlowHasher, FlowKey, HashSeed, NodeId, PlanVersion, Protocol, ServiceId,
-    TargetId,
-};
-use sequoiatrail_wire::message::{FlowMessage, RelayHeader, RelayStage};
-
-/// The only service of the tests.
-pub const SERVICE: ServiceId = ServiceId(0);
-/// Buckets of its plan.
-pub const BUCKETS: usize = 64;
-/// Time between two ticks of a core.
-const TICK: Duration = Duration::from_millis(100);
-/// Bytes of headers around each control message.
-const HEADER_BYTES: usize = 28;
-
-/// A row of the tests' service.
-pub fn row(target: u8, protocol: Protocol) -> Row {
-    Row {
-        service: "crew".into(),
-        owner: String::new(),
-        address: "10.0.0.1".parse().unwrap(),
-        port: 443,
-        protocol,
-        target: format!("t{target}"),
-        target_address: SocketAddr::from(([10, 1, 0, target], 5555)),
-        failure_domain: FailureDomain(1),
-        weight: 1,
-        max_connections: 0,
-        slots: 0,
-        state: TargetState::Started,
-        drain_limit_s: 0,
-    }
-}
-
-/// Rows of `n` equal targets.
-pub fn rows(n: u8) -> Vec<Row> {
-    (0..n).map(|t| row(t, Protocol::Tcp)).collect()
-}
-
-/// The next table with these rows.
-pub fn table(last: &Table, rows: &[Row]) -> Table {
-    last.with_rows(rows, EditId::default()).unwrap()
-}
+use sequoiatrail_core::{Core, CoreConfig, Decision, Event, Peer, Via};
+use sequoiatrail_packet::Packet;
+use sequoiatrail_plan::Plan;
+use sequoiatrail_table::{Row, Table};
+use sequoiatrail_types::{FailureDomain, FlowHasher, HashSeed, NodeId, PlanVersion, TargetId};
+use sequoiatrail_wire::message::{FlowMessage, RelayHeader};
 
-/// The plan after `last` for the targets of a table that take new flows.
-pub fn plan(last: &Plan, table: &Table) -> Plan {
-    let targets: Vec<_> = table
-        .targets
-        .iter()
-        .filter(|t| t.row.takes_new_flows())
-        .map(|t| WeightedTarget {
-            target: t.id,
-            weight: f64::from(t.row.weight),
-        })
-        .collect();
-    repair(last, table.version, &targets, Factors::default()).unwrap_or_else(|| last.clone())
-}
-
-/// A caller's connection by number.
-pub fn key(caller: u32) -> FlowKey {
-    FlowKey {
-        protocol: Protocol::Tcp,
-        src: SocketAddr::from(((0x0b00_0000 + caller).to_be_bytes(), 40_000)),
-        dst: "10.0.0.1:443".parse().unwrap(),
-    }
-}
-
-/// A packet that opens a connection.
-pub fn syn(caller: u32) -> Packet {
-    let tcp = TcpFacts {
-        syn: true,
-        sequence: 1_000,
-        ..TcpFacts::default()
-    };
-    Packet {
-        flow: key(caller),
-        tcp: Some(tcp),
-        payload_bytes: 0,
-    }
-}
-
-/// A packet in the middle of a connection.
-pub fn data(caller: u32, sequence: u32) -> Packet {
-    let tcp = TcpFacts {
-        ack: true,
-        sequence,
-        ..TcpFacts::default()
-    };
-    Packet {
-        flow: key(caller),
-        tcp: Some(tcp),
-        payload_bytes: 100,
-    }
-}
-
-/// The caller's last packet.
-pub fn fin(caller: u32) -> Packet {
-    let mut packet = data(caller, 1 << 20);
-    packet.payload_bytes = 0;
-    packet.tcp.as_mut().unwrap().fin = true;
-    packet
-}
-
-/// A packet of a UDP flow.
-pub fn datagram(caller: u32) -> Packet {
-    let mut packet = data(caller, 0);
-    packet.flow.protocol = Protocol::Udp;
-    packet.tcp = None;
-    packet
-}
-
-/// Milliseconds.
-pub fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
+use delivery::TICK;
+pub use traffic::*;
 
 /// What is under way between balancers.
 #[derive(Clone, Debug)]
@@ -435,124 +327,4 @@
             assert_eq!(self.targets(caller), before, "{what}: caller {caller}");
         }
     }
-
-    fn tick(&mut self) {
-        self.now = self.next_tick;
-        self.next_tick += TICK;
-        for index in self.live() {
-            let actions = self.balancers[index].core.tick(self.now);
-            self.act(index, actions);
-        }
-        let whole_second = self.now.subsec_millis() == 0;
-        if self.shares && whole_second {
-            self.exchange_shares();
-        }
-    }
-
-    fn exchange_shares(&mut self) {
-        for index in self.live() {
-            let shares = self.balancers[index].core.shares();
-            let from = node(index);
-            for other in self.live() {
-                if other != index {
-                    let shares = shares.clone();
-                    let delay = self.random_delay();
-                    self.give_later(other, delay, Event::Shares { from, shares });
-                }
-            }
-        }
-    }
-
-    fn arrive(&mut self, at: (Duration, u64)) {
-        self.now = at.0.max(self.now);
-        let (index, from, cargo) = self.queue.remove(&at).unwrap();
-        if !self.balancers[index].alive {
-            return;
-        }
-        match cargo {
-            Cargo::Packet(header, packet) => self.decide(index, packet, Via::Peer { from, header }),
-            Cargo::Message(message) => self.give(index, Event::Message { from, message }),
-            Cargo::Event(event) => self.give(index, event),
-            Cargo::Prepared(plan) => {
-                let peers = &mut self.balancers[index].peers;
-                if let Some(peer) = peers.iter_mut().find(|p| p.node == from) {
-                    let before = peer.prepared.first().map(|(_, plan)| *plan);
-                    peer.prepared = vec![(SERVICE, plan.max(before.unwrap_or_default()))];
-                }
-                let peers = peers.clone();
-                self.give(index, Event::Peers(peers));
-            }
-        }
-    }
-
-    fn decide(&mut self, index: usize, packet: Packet, via: Via) {
-        let core = &self.balancers[index].core;
-        let decision = core.decide(self.now, &packet, via);
-        let ip = packet.flow.src.ip().to_string();
-        let caller = ip.parse::<std::net::Ipv4Addr>().unwrap().to_bits() - 0x0b00_0000;
-        if self.trace == Some(caller) {
-            println!("{:?} at {index} {via:?}: {decision:?}", self.now);
-        }
-        match decision {
-            Decision::Forward { target, .. } => {
-                self.reached.entry(caller).or_default().push(target);
-            }
-            Decision::Relay { to, header } => {
-                assert!(header.hops <= 4, "relayed too often: {header:?}");
-                assert_ne!(to, node(index), "relayed to itself");
-                if header.stage == RelayStage::Ask {
-                    self.relayed += 1;
-                }
-                self.queue_random(to, node(index), Cargo::Packet(header, packet));
-            }
-            other => {
-                self.refused.insert(caller, other);
-            }
-        }
-    }
-
-    fn act(&mut self, index: usize, actions: Vec<Action>) {
-        for action in actions {
-            match action {
-                Action::Send { to, message } => {
-                    self.balancers[index].control_bytes += bytes(&message);
-                    let cargo = Cargo::Message(message);
-                    if self.rng.random_range(0..1_000) < self.repeats {
-                        self.queue_random(to, node(index), cargo.clone());
-                    }
-                    self.queue_random(to, node(index), cargo);
-                }
-                Action::Prepared { plan, .. } => {
-                    for other in self.live() {
-                        let delay = self.random_delay();
-                        self.queue_up(delay, other, node(index), Cargo::Prepared(plan));
-                    }
-                }
-            }
-        }
-    }
-
-    fn random_delay(&mut self) -> Duration {
-        let longest = self.delay.as_micros() as u64;
-        Duration::from_micros(self.rng.random_range(longest / 4..=longest))
-    }
-
-    fn queue_random(&mut self, to: NodeId, from: NodeId, cargo: Cargo) {
-        if self.rng.random_range(0..1_000) < self.loss {
-            return;
-        }
-        let delay = self.random_delay();
-        self.queue_up(delay, to.0 as usize - 1, from, cargo);
-    }
-
-    fn queue_up(&mut self, delay: Duration, to: usize, from: NodeId, cargo: Cargo) {
-        self.queued += 1;
-        self.queue
-            .insert((self.now + delay, self.queued), (to, from, cargo));
-    }
-}
-
-/// Bytes of a message on the wire, headers included.
-fn bytes(message: &FlowMessage) -> usize {
-    HEADER_BYTES + sequoiatrail_core::message_bytes(message)
 }
--- /dev/null
+++ b/crates/core/tests/common/traffic.rs
@@ -0,0 +1,115 @@
+//! Rows, plans, flows and packets of the tests' only service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sequoiatrail_packet::{Packet, TcpFacts};
+use sequoiatrail_plan::{Factors, Plan, WeightedTarget, repair};
+use sequoiatrail_table::{EditId, Row, Table, TargetState};
+use sequoiatrail_types::{FailureDomain, FlowKey, Protocol, ServiceId};
+
+/// The only service of the tests.
+pub const SERVICE: ServiceId = ServiceId(0);
+/// Buckets of its plan.
+pub const BUCKETS: usize = 64;
+
+/// A row of the tests' service.
+pub fn row(target: u8, protocol: Protocol) -> Row {
+    Row {
+        service: "crew".into(),
+        owner: String::new(),
+        address: "10.0.0.1".parse().unwrap(),
+        port: 443,
+        protocol,
+        target: format!("t{target}"),
+        target_address: SocketAddr::from(([10, 1, 0, target], 5555)),
+        failure_domain: FailureDomain(1),
+        weight: 1,
+        max_connections: 0,
+        slots: 0,
+        state: TargetState::Started,
+        drain_limit_s: 0,
+    }
+}
+
+/// Rows of `n` equal targets.
+pub fn rows(n: u8) -> Vec<Row> {
+    (0..n).map(|t| row(t, Protocol::Tcp)).collect()
+}
+
+/// The next table with these rows.
+pub fn table(last: &Table, rows: &[Row]) -> Table {
+    last.with_rows(rows, EditId::default()).unwrap()
+}
+
+/// The plan after `last` for the targets of a table that take new flows.
+pub fn plan(last: &Plan, table: &Table) -> Plan {
+    let targets: Vec<_> = table
+        .targets
+        .iter()
+        .filter(|t| t.row.takes_new_flows())
+        .map(|t| WeightedTarget {
+            target: t.id,
+            weight: f64::from(t.row.weight),
+        })
+        .collect();
+    repair(last, table.version, &targets, Factors::default()).unwrap_or_else(|| last.clone())
+}
+
+/// A caller's connection by number.
+pub fn key(caller: u32) -> FlowKey {
+    FlowKey {
+        protocol: Protocol::Tcp,
+        src: SocketAddr::from(((0x0b00_0000 + caller).to_be_bytes(), 40_000)),
+        dst: "10.0.0.1:443".parse().unwrap(),
+    }
+}
+
+/// A packet that opens a connection.
+pub fn syn(caller: u32) -> Packet {
+    let tcp = TcpFacts {
+        syn: true,
+        sequence: 1_000,
+        ..TcpFacts::default()
+    };
+    Packet {
+        flow: key(caller),
+        tcp: Some(tcp),
+        payload_bytes: 0,
+    }
+}
+
+/// A packet in the middle of a connection.
+pub fn data(caller: u32, sequence: u32) -> Packet {
+    let tcp = TcpFacts {
+        ack: true,
+        sequence,
+        ..TcpFacts::default()
+    };
+    Packet {
+        flow: key(caller),
+        tcp: Some(tcp),
+        payload_bytes: 100,
+    }
+}
+
+/// The caller's last packet.
+pub fn fin(caller: u32) -> Packet {
+    let mut packet = data(caller, 1 << 20);
+    packet.payload_bytes = 0;
+    packet.tcp.as_mut().unwrap().fin = true;
+    packet
+}
+
+/// A packet of a UDP flow.
+pub fn datagram(caller: u32) -> Packet {
+    let mut packet = data(caller, 0);
+    packet.flow.protocol = Protocol::Udp;
+    packet.tcp = None;
+    packet
+}
+
+/// Milliseconds.
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
--- a/crates/daemon/src/cookie.rs
+++ b/crates/daemon/src/cookie.rs
@@ -13,6 +13,7 @@
 mod packets;
 mod peers;
 mod prober;
+mod readiness;
 mod reload;
 mod shared;
 mod start;
--- a/crates/daemon/src/cookie/shared.rs
+++ b/crates/daemon/src/cookie/shared.rs
@@ -25,13 +25,6 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest time to make a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
-/// Time after the start without manifest or targets after which other balancers
-/// are asked for them; many round trips to the store.
-const START_LIMIT: Duration = Duration::from_millis(400);
-/// Why packets are asked for.
-const READY: &str = "manifest and targets are known";
-/// Why no packets are asked for although they could be served.
-const ASIDE: &str = "most balancers of the failure domain are down";
 
 /// Limits of log lines.
 pub(super) struct Lines {
@@ -75,21 +68,21 @@
     /// Times of handling packets; set once the metrics are served.
     pub handling: OnceLock<Histogram<f64>>,
     /// Whether others can serve the callers of this failure domain better.
-    aside: AtomicBool,
+    pub(super) aside: AtomicBool,
     /// Set by the first stop signal.
-    stopping: AtomicBool,
+    pub(super) stopping: AtomicBool,
     /// Set when all threads have to end.
     pub ended: AtomicBool,
     /// When the targets were last confirmed by the store, in milliseconds of `clock`.
     targets_confirmed_ms: AtomicU64,
     /// Followers that the store does not answer.
-    lost: AtomicU32,
+    pub(super) lost: AtomicU32,
     /// When the process started, on `clock`.
-    started: Duration,
+    pub(super) started: Duration,
     /// Raised when followers have to begin anew.
     relists: AtomicU64,
     last_look: Mutex<Option<Look>>,
-    told_ready: AtomicBool,
+    pub(super) told_ready: AtomicBool,
 }
 
 /// Clocks at a look.
@@ -142,49 +135,6 @@
         self.list_again();
     }
 
-    /// Whether the routers should send packets here.
-    pub fn is_ready(&self) -> bool {
-        let reason = self.readiness();
-        let ready = reason == READY;
-        if self.told_ready.swap(ready, Ordering::AcqRel) != ready {
-            self.log.emit(Event::ReadinessChanged { ready, reason });
-        }
-        ready
-    }
-
-    /// Why packets are asked for, or not.
-    fn readiness(&self) -> &'static str {
-        if self.stopping.load(Ordering::Acquire) {
-            return "stopping";
-        }
-        let balancer = self.lock();
-        if !balancer.is_ready() {
-            return "manifest or targets are not known";
-        }
-        if balancer.is_isolated() {
-            return "no target can be reached";
-        }
-        if self.aside.load(Ordering::Acquire) {
-            return ASIDE;
-        }
-        READY
-    }
-
-    /// Whether packets would be asked for if the other balancers of the failure
-    /// domain were there.
-    pub fn could_serve(&self) -> bool {
-        matches!(self.readiness(), READY | ASIDE)
-    }
-
-    /// Asks for no packets while most balancers of the failure domain are down.
-    pub fn step_aside(&self, aside: bool) {
-        self.aside.store(aside, Ordering::Release);
-    }
-
-    pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Release);
-    }
-
     pub fn has_ended(&self) -> bool {
         self.ended.load(Ordering::Acquire)
     }
@@ -205,12 +155,6 @@
         self.lost.fetch_sub(1, Ordering::AcqRel);
     }
 
-    /// Whether the store does not answer, so that others are to be asked.
-    pub fn lacks_store(&self, now: Duration) -> bool {
-        let waits = now >= self.started + START_LIMIT && !self.lock().is_ready();
-        waits || self.lost.load(Ordering::Acquire) > 0
-    }
-
     /// Time since the store last confirmed the targets.
     pub fn targets_age(&self, now: Duration) -> Duration {
         let confirmed = self.targets_confirmed_ms.load(Ordering::Relaxed);
