refactor: typed errors of questions between balancers

Cause: they were strings, and a peer that did not answer was logged as a platform that did not. Change: an enum with its sources.

--- a/crates/cookie/src/peers.rs
+++ b/crates/cookie/src/peers.rs
@@ -257,12 +257,12 @@
     /// Whether fewer than half of the balancers of the own failure domain can take
     /// packets, this one included, while at least half of another one's can.
     pub fn is_minority(&self, now: Duration) -> bool {
-        let known = self.known.values();
-        let known = known.filter(|p| p.serves.is_some() && !self.is_forgotten(now, p));
-        let (near, far): (Vec<&Peer>, Vec<&Peer>) = known.partition(|p| p.is_in(&self.own.domain));
         if !self.watches_domain() {
             return false;
         }
+        let known = self.known.values();
+        let known = known.filter(|p| p.serves.is_some() && !self.is_forgotten(now, p));
+        let (near, far): (Vec<&Peer>, Vec<&Peer>) = known.partition(|p| p.is_in(&self.own.domain));
         let serves = |p: &&Peer| p.serves == Some(true) && p.failures < self.cfg.down_after;
         let serving = near.iter().copied().filter(serves).count() + 1;
         2 * serving < near.len() + 1 && has_majority(&far)
--- a/crates/daemon/src/cookie/peers/asker.rs
+++ b/crates/daemon/src/cookie/peers/asker.rs
@@ -5,11 +5,12 @@
 use std::thread;
 use std::time::Duration;
 
-use sequoiatrail_cookie::{PeerChange, PeerName, Snapshot, SnapshotTaken};
+use sequoiatrail_cookie::{PeerChange, PeerName, Snapshot, SnapshotError, SnapshotTaken};
 use sequoiatrail_events::Event;
 use sequoiatrail_platform::{Client, ClientConfig, Error, Method};
+use snafu::{ResultExt, Snafu, ensure};
 
-use super::message::{Answer, PATH, Question, open, seal};
+use super::message::{Answer, MessageError, PATH, Question, open, seal};
 use super::server::Known;
 use crate::cookie::changes::{log_manifest, log_news};
 use crate::cookie::shared::Shared;
@@ -28,6 +29,26 @@
 /// What log lines name as the source of news.
 const SOURCE: &str = "peer";
 
+/// Result of a question.
+type Result<T, E = AskError> = std::result::Result<T, E>;
+
+/// Why a question got no answer that can be used.
+#[derive(Debug, Snafu)]
+enum AskError {
+    /// Nothing came back.
+    #[snafu(display("no answer: {reason}"))]
+    NoAnswer { reason: String },
+    /// The other balancer turned the question away.
+    #[snafu(display("turned away with status {status}"))]
+    TurnedAway { status: u16 },
+    /// The question can't be written, or the answer can't be read.
+    #[snafu(display("the message can't be used: {source}"))]
+    Message { source: MessageError },
+    /// What the answer says can't be used.
+    #[snafu(display("the snapshot can't be used: {source}"))]
+    Snapshot { source: SnapshotError },
+}
+
 /// Asks, on a thread of its own.
 pub(in crate::cookie) struct Asker {
     shared: Arc<Shared>,
@@ -65,16 +86,16 @@
         let asked = self.shared.clock.now();
         match self.exchange(peer, urgent) {
             Ok(answer) => self.answered(peer, answer),
-            Err(error) => self.failed(peer, asked, error),
+            Err(error) => self.failed(peer, asked, &error),
         }
         let minority = self.known.peers().is_minority(self.shared.clock.now());
         self.shared.step_aside(minority);
     }
 
-    fn exchange(&self, peer: SocketAddr, urgent: bool) -> Result<Answer, String> {
+    fn exchange(&self, peer: SocketAddr, urgent: bool) -> Result<Answer> {
         let question = self.question(urgent);
         let key = self.known.key.as_ref();
-        let body = seal(key, PATH.as_bytes(), &question).map_err(|e| e.to_string())?;
+        let body = seal(key, PATH.as_bytes(), &question).context(MessageSnafu)?;
         let client = Client::new(ClientConfig {
             endpoint: peer,
             connect_timeout: CONNECT_TIMEOUT,
@@ -88,12 +109,11 @@
             ASK_TIMEOUT
         };
         let reply = client.exchange(Method::POST, PATH, &body, timeout);
-        let reply = reply.map_err(|e: Error| e.to_string())?;
-        if reply.status != 200 {
-            return Err(format!("status {}", reply.status));
-        }
+        let reply = reply.map_err(no_answer)?;
+        let status = reply.status;
+        ensure!(status == 200, TurnedAwaySnafu { status });
         let context = question.nonce.to_be_bytes();
-        open(key, &context, &reply.body).map_err(|e| e.to_string())
+        open(key, &context, &reply.body).context(MessageSnafu)
     }
 
     fn question(&self, urgent: bool) -> Question {
@@ -136,12 +156,13 @@
         let (version, routes) = (snapshot.manifest.version, snapshot.manifest.routes.len());
         let (revision, targets) = (snapshot.revision, snapshot.targets.len());
         let taken = self.shared.lock().take_snapshot(now, snapshot);
+        let taken = taken.context(SnapshotSnafu);
         let SnapshotTaken {
             manifest,
             targets: news,
         } = match taken {
             Ok(taken) => taken,
-            Err(e) => return self.failed(peer, now, e.to_string()),
+            Err(error) => return self.failed(peer, now, &error),
         };
         self.counters.add(Count::SnapshotsTaken, 1);
         self.shared.log.emit(Event::SnapshotTaken {
@@ -157,11 +178,21 @@
         self.shared.list_again();
     }
 
-    fn failed(&self, peer: SocketAddr, asked: Duration, error: String) {
+    fn failed(&self, peer: SocketAddr, asked: Duration, error: &AskError) {
         let now = self.shared.clock.now();
         let change = self.known.peers().failed(now, peer, asked);
         if change == Some(PeerChange::Lost) {
+            let error = error.to_string();
             self.shared.log.emit(Event::PeerLost { peer, error });
         }
     }
 }
+
+/// The client's errors speak of the platform; only their reasons hold here.
+fn no_answer(error: Error) -> AskError {
+    let reason = match error {
+        Error::NotSent { reason } | Error::NoAnswer { reason } => reason,
+        other => other.to_string(),
+    };
+    AskError::NoAnswer { reason }
+}
