--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -30,22 +30,14 @@
         if answered {
             target.health.progress(now);
             self.attempts.answered(&seg.flow);
-        }
-        if answered {
             // What was sent twice may have been lost: it tells nothing of the load.
             let timed = flow.busy && !flow.stuck;
             target.load.settle(&mut flow);
             let route = self.routes.get(seg.flow.route).filter(|_| timed);
-            if let Some((goal, priority)) = route.and_then(|r| Some((r.latency_goal?, r.priority)))
-            {
-                let answer = Answer {
-                    goal,
-                    priority,
-                    took: now.saturating_sub(flow.sent),
-                };
+            if let Some(answer) = route.and_then(|r| Answer::new(r, now, flow.sent)) {
                 let service = &target.entry.service;
-                let cfg = &self.cfg.overload;
-                self.overload.answered(cfg, now, service, answer);
+                self.overload
+                    .answered(&self.cfg.overload, now, service, answer);
             }
         }
         if repeated {
--- a/crates/cookie/src/overload.rs
+++ b/crates/cookie/src/overload.rs
@@ -12,6 +12,8 @@
 
 use hashbrown::HashMap;
 
+use crate::Route;
+
 /// Settings of the refusals.
 #[derive(Clone, Copy, Debug)]
 pub struct OverloadConfig {
@@ -84,6 +86,17 @@
     pub took: Duration,
 }
 
+impl Answer {
+    /// An answer that came now to a request on a route; `None` if it has no goal.
+    pub fn new(route: &Route, now: Duration, sent: Duration) -> Option<Answer> {
+        Some(Answer {
+            goal: route.latency_goal?,
+            priority: route.priority,
+            took: now.saturating_sub(sent),
+        })
+    }
+}
+
 /// Shortest answers of one latency goal, over two windows.
 #[derive(Clone, Copy, Debug)]
 struct Base {
--- a/crates/daemon/src/cookie/peers/server.rs
+++ b/crates/daemon/src/cookie/peers/server.rs
@@ -17,7 +17,7 @@
 use crate::counters::{Count, Counters};
 use crate::error::PartSnafu;
 
-/// Threads that answer; a peer asks a few times a minute.
+/// Threads that answer; peers ask a few times a second.
 const WORKERS: usize = 1;
 /// Bytes of snapshots a second, a small part of the slowest VM's link.
 const SNAPSHOT_BYTES_PER_SECOND: f64 = 128.0 * 1_024.0;
