--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -16,7 +16,9 @@
 use crate::routes::ManifestOutcome;
 use crate::silence::probe_if_suspect;
 use crate::unknown::UnknownCookies;
-use crate::{Config, Directory, Effects, FlowTable, Manifest, Routes, TargetEvent, TargetId};
+use crate::{
+    Config, Directory, DomainLoad, Effects, FlowTable, Manifest, Routes, TargetEvent, TargetId,
+};
 
 /// Hash seed for splitting a route's flows among services. It is the same on every
 /// balancer, so that retransmitted SYNs go to the same service.
@@ -33,6 +35,7 @@
     pub(crate) unknown: UnknownCookies,
     pub(crate) overload: Overload,
     pub(crate) reports: Reports,
+    pub(crate) domain_load: DomainLoad,
     pub(crate) pending: Pending,
     pub(crate) service_hasher: FixedState,
     /// SYNs are dropped until then because a pause of this process delayed them.
@@ -54,6 +57,7 @@
             unknown: UnknownCookies::default(),
             overload: Overload::default(),
             reports: Reports::default(),
+            domain_load: DomainLoad::default(),
             pending: Pending::default(),
             service_hasher: FixedState::with_seed(SPLIT_SEED),
             drop_syns_until: Duration::ZERO,
@@ -109,6 +113,11 @@
         &self.directory
     }
 
+    /// Load of the failure domain.
+    pub fn domain_load(&self) -> &DomainLoad {
+        &self.domain_load
+    }
+
     /// The flow table.
     pub fn flows(&self) -> &FlowTable {
         &self.flows
