--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -1,5 +1,6 @@
 //! Data path state of one process, and its updates.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,8 +17,10 @@
 use crate::routes::ManifestOutcome;
 use crate::silence::probe_if_suspect;
 use crate::unknown::UnknownCookies;
+use crate::warmup::WarmupQuota;
 use crate::{
-    Config, Directory, DomainLoad, Effects, FlowTable, Manifest, Routes, TargetEvent, TargetId,
+    Config, Directory, DomainLoad, Effects, EvacuationChange, EvacuationEvent, EvacuationList,
+    Evacuations, FlowTable, Manifest, Routes, TargetEvent, TargetId,
 };
 
 /// Hash seed for splitting a route's flows among services. It is the same on every
@@ -30,6 +33,8 @@
     pub(crate) routes: Routes,
     pub(crate) manifest: Option<Arc<Manifest>>,
     pub(crate) directory: Directory,
+    pub(crate) evacuations: Evacuations,
+    pub(crate) warmup: WarmupQuota,
     pub(crate) flows: FlowTable,
     pub(crate) attempts: RecentAttempts,
     pub(crate) unknown: UnknownCookies,
@@ -52,6 +57,8 @@
             routes: Routes::default(),
             manifest: None,
             directory: Directory::default(),
+            evacuations: Evacuations::default(),
+            warmup: WarmupQuota::default(),
             flows: FlowTable::default(),
             attempts: RecentAttempts::default(),
             unknown: UnknownCookies::default(),
@@ -70,15 +77,18 @@
         self.cfg = cfg;
     }
 
-    /// Resets the target revision, so that the next list applies whatever its
+    /// Resets the revisions of the lists, so that the next ones apply whatever its
     /// revision. Used when switching to another store.
     pub fn forget_revision(&mut self) {
         self.directory.forget_revision();
+        self.evacuations.forget_revision();
     }
 
-    /// Whether a manifest and a target list are loaded, so that packets can be served.
+    /// Whether a manifest and a target list are loaded, and the evacuations if they are
+    /// followed, so that packets can be served.
     pub fn is_ready(&self) -> bool {
-        self.routes.version() > 0 && self.directory.is_loaded()
+        let evacuations = !self.cfg.follow_evacuations || self.evacuations.is_loaded();
+        self.routes.version() > 0 && self.directory.is_loaded() && evacuations
     }
 
     /// Limit on a service's requests in flight through this balancer; `None` if the
@@ -118,6 +128,29 @@
         &self.domain_load
     }
 
+    /// The evacuations in force.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Store revision of the evacuations; `None` if they are not followed.
+    pub fn followed_evacuations(&self) -> Option<StoreRevision> {
+        let followed = self.cfg.follow_evacuations;
+        followed.then(|| self.evacuations.revision())
+    }
+
+    /// Flows through this balancer that are still open in a failure domain.
+    pub fn flows_in_domain(&self, domain: &str) -> u32 {
+        let targets = self.directory.iter();
+        let targets = targets.filter(|t| *t.entry.domain == *domain);
+        targets.map(|t| t.load.flows).sum()
+    }
+
+    /// Records the address of this balancer and its known peers in the failure domain.
+    pub fn record_members(&mut self, now: Duration, own: SocketAddr, peers: &[SocketAddr]) {
+        self.warmup.record_members(now, own, peers);
+    }
+
     /// The flow table.
     pub fn flows(&self) -> &FlowTable {
         &self.flows
@@ -163,6 +196,43 @@
         events
     }
 
+    /// Applies a complete list of evacuations; see [`Evacuations`].
+    pub fn replace_evacuations(
+        &mut self,
+        now: Duration,
+        list: EvacuationList,
+    ) -> Vec<(Arc<str>, EvacuationEvent)> {
+        let events = self.evacuations.replace(now, list);
+        self.enforce_evacuations(&events);
+        events
+    }
+
+    /// Applies changes of evacuations up to `revision`.
+    pub fn change_evacuations(
+        &mut self,
+        now: Duration,
+        revision: StoreRevision,
+        changes: Vec<EvacuationChange>,
+    ) -> Vec<(Arc<str>, EvacuationEvent)> {
+        let events = self.evacuations.apply(now, revision, changes);
+        self.enforce_evacuations(&events);
+        events
+    }
+
+    /// Takes back evacuations that a restored store still lacks after a grace period. To
+    /// be called about once per second.
+    pub fn sweep_evacuations(&mut self, now: Duration) -> Vec<(Arc<str>, EvacuationEvent)> {
+        let events = self.evacuations.sweep(now);
+        self.enforce_evacuations(&events);
+        events
+    }
+
+    pub(crate) fn enforce_evacuations(&mut self, events: &[(Arc<str>, EvacuationEvent)]) {
+        if !events.is_empty() {
+            self.directory.set_evacuated(self.evacuations.domain_set());
+        }
+    }
+
     /// Expires idle flows and targets that are gone for long. To be called about
     /// once per second.
     pub fn sweep(&mut self, now: Duration) -> Vec<(TargetId, TargetEvent)> {
@@ -174,6 +244,7 @@
         self.expire_requests(now);
         self.attempts.sweep(now);
         self.reports.sweep(now);
+        self.warmup.sweep(now);
         let overloads = self.overload.take_changes(now);
         self.pending.overloads.extend(overloads);
         self.unknown.sweep(now, self.cfg.flow_max_age);
--- a/crates/cookie/src/config.rs
+++ b/crates/cookie/src/config.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::{HealthConfig, OverloadConfig, PlacementConfig};
+use crate::{HealthConfig, OverloadConfig, PlacementConfig, WarmupConfig};
 
 /// Settings of a [`crate::Balancer`].
 #[derive(Clone, Debug)]
@@ -20,6 +20,11 @@
     /// Time for which packets with an unknown cookie are dropped before their flow
     /// is reset: another balancer may have learned of the target earlier.
     pub unknown_cookie_grace: Duration,
+    /// Whether the operator's evacuations are followed: no flow is served before their
+    /// list is known.
+    pub follow_evacuations: bool,
+    /// Quota of cold targets.
+    pub warmup: WarmupConfig,
     /// Refusal of new flows of overloaded services.
     pub overload: OverloadConfig,
     /// Target selection.
@@ -36,6 +41,8 @@
             flow_max_age: Duration::from_secs(60),
             max_flows: 200_000,
             unknown_cookie_grace: Duration::from_secs(2),
+            follow_evacuations: false,
+            warmup: WarmupConfig::default(),
             overload: OverloadConfig::default(),
             placement: PlacementConfig::default(),
             health: HealthConfig::default(),
--- a/crates/cookie/src/decide.rs
+++ b/crates/cookie/src/decide.rs
@@ -59,8 +59,9 @@
             Some(flow) => Some(flow.target),
             None => self.attempts.failed_target(now, &seg.flow),
         };
-        let Some(key) = self.place(now, &service, avoid) else {
-            return reset(seg, ResetReason::NoTarget);
+        let key = match self.place(now, &service, avoid) {
+            Ok(key) => key,
+            Err(reason) => return reset(seg, reason),
         };
         self.start_flow(now, seg, key);
         let reason = match retransmit {
@@ -97,8 +98,8 @@
         match current {
             Some(flow) => self.forward(flow.target, Some(seg), PlaceReason::Repeated),
             None => match self.place(now, service, None) {
-                Some(key) => self.forward(key, Some(seg), PlaceReason::Moved),
-                None => reset(seg, ResetReason::NoTarget),
+                Ok(key) => self.forward(key, Some(seg), PlaceReason::Moved),
+                Err(reason) => reset(seg, reason),
             },
         }
     }
@@ -155,18 +156,34 @@
         first.map_or_else(|| Arc::from(""), |s| Arc::clone(&s.service))
     }
 
+    /// Selects the target of a new flow.
+    ///
+    /// # Errors
+    ///
+    /// If no target accepts it; the reason for its reset.
     fn place(
         &mut self,
         now: Duration,
         service: &str,
         avoid: Option<TargetKey>,
-    ) -> Option<TargetKey> {
+    ) -> Result<TargetKey, ResetReason> {
+        let cold_rate = self.routes.cold_flows_per_s(service);
+        let cold_bound = self.cfg.warmup.bound(cold_rate);
         let keys = self.directory.for_service(service).to_vec();
         let mut candidates = Vec::with_capacity(keys.len());
         for key in keys {
             let Some(target) = self.directory.get_mut(key) else {
                 continue;
             };
+            let local = target.entry.domain == self.cfg.domain;
+            let returning = self.evacuations.returning(now, &target.entry.domain);
+            let cold = now < target.cold_until || returning > 0.0;
+            if cold && let Some(bound) = cold_bound {
+                let id = target.entry.id;
+                if !local || !self.warmup.has_room(now, id, bound) {
+                    continue;
+                }
+            }
             let before = target.health.suspicion_count();
             let suspected = target.health.should_avoid(now, &self.cfg.health);
             if target.health.suspicion_count() > before {
@@ -181,14 +198,41 @@
             probe_if_suspect(&self.cfg, &mut self.pending, now, target);
             candidates.push(Candidate {
                 key,
-                local: target.entry.domain == self.cfg.domain,
-                cold: now < target.cold_until,
+                local,
+                cold,
+                returning,
                 avoid: suspected || avoid == Some(key),
                 slots: target.entry.slots,
                 load: target.load,
             });
         }
-        choose(&self.cfg.placement, candidates.into_iter(), &mut self.rng)
+        let limited = |c: &Candidate| c.cold && cold_bound.is_some();
+        let cold: Vec<TargetKey> = candidates
+            .iter()
+            .filter(|c| limited(c))
+            .map(|c| c.key)
+            .collect();
+        let chosen = choose(&self.cfg.placement, candidates.into_iter(), &mut self.rng);
+        let chosen = chosen.ok_or_else(|| self.refusal_reason(service))?;
+        if cold.contains(&chosen)
+            && let Some(target) = self.directory.get(chosen)
+        {
+            self.warmup.record_sent(now, target.entry.id);
+        }
+        Ok(chosen)
+    }
+
+    /// Why no target of a service accepts a new flow.
+    fn refusal_reason(&self, service: &str) -> ResetReason {
+        if !self.directory.for_service(service).is_empty() {
+            return ResetReason::ColdTargets;
+        }
+        let mut targets = self.directory.iter();
+        let evacuated = targets.any(|t| *t.entry.service == *service && t.accepts_new_flows());
+        match evacuated {
+            true => ResetReason::Evacuated,
+            false => ResetReason::NoTarget,
+        }
     }
 
     fn forward(&self, key: TargetKey, syn: Option<&Segment>, reason: PlaceReason) -> Decision {
--- a/crates/cookie/src/decision.rs
+++ b/crates/cookie/src/decision.rs
@@ -30,6 +30,10 @@
     RouteRemoved,
     /// No target of the service accepts new flows.
     NoTarget,
+    /// All targets of the service that accept new flows are in evacuated failure domains.
+    Evacuated,
+    /// Only targets that are warming up accept new flows, and none has room.
+    ColdTargets,
     /// The service is overloaded; no data was sent on the flow yet.
     Overloaded,
     /// The flow's target was removed or has died.
--- a/crates/cookie/src/directory.rs
+++ b/crates/cookie/src/directory.rs
@@ -6,8 +6,9 @@
 use hashbrown::{HashMap, HashSet};
 use sequoiatrail_types::StoreRevision;
 
+use crate::list_revision::{AcceptedList, ListRevision};
 use crate::presence::{Presence, Target};
-use crate::{Cookie, Health, Lifecycle, Load, TargetEntry, TargetEvent, TargetId};
+use crate::{Cookie, Health, Lifecycle, TargetEntry, TargetEvent, TargetId};
 
 /// Index of a target in the directory; reused after the target was removed from it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -22,6 +23,8 @@
     Unreadable(TargetId),
     /// The entry was deleted.
     Gone(TargetId),
+    /// Another balancer knows the target, which a restored store lacks.
+    Unconfirmed(TargetEntry),
 }
 
 /// Circumstances of an update.
@@ -40,29 +43,27 @@
 /// gone owns it; the others get no new flows. Every balancer picks the same owner.
 #[derive(Debug, Default)]
 pub struct Directory {
-    revision: StoreRevision,
-    loaded: bool,
-    /// Whether the targets came from another balancer, which may use another store:
-    /// the next list from the store then applies whatever its revision.
-    from_peer: bool,
+    revision: ListRevision,
+    /// Failure domains whose targets accept no new flows.
+    evacuated: HashSet<Arc<str>>,
     /// Unused indexes hold `None` and are listed in `free_keys`.
     targets: Vec<Option<Target>>,
     free_keys: Vec<TargetKey>,
     by_id: HashMap<TargetId, TargetKey>,
     by_cookie: HashMap<Cookie, TargetKey>,
-    /// Targets that accept new flows and own their cookie.
+    /// Targets that accept new flows, own their cookie and are not evacuated.
     by_service: HashMap<Arc<str>, Vec<TargetKey>>,
 }
 
 impl Directory {
     /// Store revision up to which changes were applied.
     pub fn revision(&self) -> StoreRevision {
-        self.revision
+        self.revision.current()
     }
 
     /// Whether a complete list was ever applied.
     pub fn is_loaded(&self) -> bool {
-        self.loaded
+        self.revision.is_loaded()
     }
 
     /// Entries of targets that are listed in the store.
@@ -72,6 +73,13 @@
         listed.map(|t| &t.entry)
     }
 
+    /// Entries of targets that a restored store lacks.
+    pub(crate) fn unconfirmed(&self) -> impl Iterator<Item = &TargetEntry> {
+        let targets = self.targets.iter().flatten();
+        let unconfirmed = targets.filter(|t| matches!(t.presence, Presence::Unconfirmed { .. }));
+        unconfirmed.map(|t| &t.entry)
+    }
+
     /// Targets whose entry can't be decoded.
     pub(crate) fn unreadable_entries(&self) -> impl Iterator<Item = TargetId> {
         let targets = self.targets.iter().flatten();
@@ -81,7 +89,13 @@
 
     /// Resets the revision and keeps the targets.
     pub(crate) fn forget_revision(&mut self) {
-        self.revision = StoreRevision::default();
+        self.revision.forget();
+    }
+
+    /// Changes the failure domains whose targets accept no new flows; open ones go on.
+    pub(crate) fn set_evacuated(&mut self, domains: HashSet<Arc<str>>) {
+        self.evacuated = domains;
+        self.rebuild_indexes();
     }
 
     /// Applies the list of another balancer, which follows the store independently, if
@@ -92,12 +106,10 @@
         revision: StoreRevision,
         list: Vec<TargetChange>,
     ) -> Vec<(TargetId, TargetEvent)> {
-        if self.loaded && revision <= self.revision {
+        let Some(accepted) = self.revision.accept_peer_list(revision) else {
             return Vec::new();
-        }
-        let events = self.replace(now, revision, list, false);
-        self.from_peer = true;
-        events
+        };
+        self.replace_accepted(now, accepted, list, false)
     }
 
     /// Applies a complete list as of `revision`; an older list changes nothing.
@@ -112,22 +124,29 @@
         list: Vec<TargetChange>,
         store_stable: bool,
     ) -> Vec<(TargetId, TargetEvent)> {
-        if self.loaded && !self.from_peer && revision < self.revision {
+        let Some(accepted) = self.revision.accept_list(revision) else {
             return Vec::new();
-        }
+        };
+        self.replace_accepted(now, accepted, list, store_stable)
+    }
+
+    fn replace_accepted(
+        &mut self,
+        now: Duration,
+        accepted: AcceptedList,
+        list: Vec<TargetChange>,
+        store_stable: bool,
+    ) -> Vec<(TargetId, TargetEvent)> {
         let update = Update {
             now,
             store_stable,
-            restored: self.loaded && revision.era > self.revision.era,
+            restored: accepted.restored,
         };
-        self.from_peer = false;
-        self.revision = revision;
         let present: HashSet<TargetId> = list.iter().map(changed_id).collect();
         let known: Vec<TargetId> = self.by_id.keys().copied().collect();
         let removed = known.into_iter().filter(|id| !present.contains(id));
         let mut changes = list;
         changes.extend(removed.map(TargetChange::Gone));
-        self.loaded = true;
         self.apply_changes(update, changes)
     }
 
@@ -140,10 +159,9 @@
         changes: Vec<TargetChange>,
         store_stable: bool,
     ) -> Vec<(TargetId, TargetEvent)> {
-        if revision < self.revision || revision.era > self.revision.era {
+        if !self.revision.accept_changes(revision) {
             return Vec::new();
         }
-        self.revision = revision;
         let update = Update {
             now,
             store_stable,
@@ -164,6 +182,7 @@
                 TargetChange::Present(entry) => self.on_present(update, entry),
                 TargetChange::Unreadable(_) => self.on_unreadable(id),
                 TargetChange::Gone(_) => self.on_removed(update, id),
+                TargetChange::Unconfirmed(entry) => self.on_unconfirmed(update, entry),
             };
             events.extend(event.map(|event| (id, event)));
         }
@@ -234,13 +253,7 @@
     fn on_present(&mut self, update: Update, entry: TargetEntry) -> Option<TargetEvent> {
         let cold_until = update.now + entry.cold_for;
         let Some(target) = self.find(entry.id) else {
-            self.insert(Target {
-                entry,
-                presence: Presence::Listed,
-                cold_until,
-                load: Load::default(),
-                health: Health::default(),
-            });
+            self.insert(Target::new(update.now, entry));
             return Some(TargetEvent::Added);
         };
         let restarted = target.was_restarted(&entry);
@@ -279,6 +292,21 @@
         Some(TargetEvent::Unreadable)
     }
 
+    /// A target that is known here keeps its entry, since a restored store may have an
+    /// older one.
+    fn on_unconfirmed(&mut self, update: Update, entry: TargetEntry) -> Option<TargetEvent> {
+        let presence = Presence::Unconfirmed { since: update.now };
+        match self.find(entry.id).map(|target| &mut target.presence) {
+            None => self.insert(Target {
+                presence,
+                ..Target::new(update.now, entry)
+            }),
+            Some(known @ (Presence::Listed | Presence::Lapsed { .. })) => *known = presence,
+            Some(_) => return None,
+        }
+        Some(TargetEvent::Unconfirmed)
+    }
+
     fn on_removed(&mut self, update: Update, id: TargetId) -> Option<TargetEvent> {
         let since = update.now;
         let target = self.find(id)?;
@@ -332,7 +360,8 @@
             let Some(target) = self.targets[key.0 as usize].as_ref() else {
                 continue;
             };
-            if owner == key && target.accepts_new_flows() {
+            let evacuated = self.evacuated.contains(&target.entry.domain);
+            if owner == key && target.accepts_new_flows() && !evacuated {
                 let service = Arc::clone(&target.entry.service);
                 self.by_service.entry(service).or_default().push(key);
             }
@@ -342,7 +371,7 @@
 
 fn changed_id(change: &TargetChange) -> TargetId {
     match change {
-        TargetChange::Present(entry) => entry.id,
+        TargetChange::Present(entry) | TargetChange::Unconfirmed(entry) => entry.id,
         TargetChange::Unreadable(id) | TargetChange::Gone(id) => *id,
     }
 }
--- a/crates/cookie/src/manifest.rs
+++ b/crates/cookie/src/manifest.rs
@@ -30,8 +30,18 @@
     pub priority: u32,
 }
 
+/// Limits of a service's targets.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct ServiceLimits {
+    /// The service.
+    pub service: Arc<str>,
+    /// New flows per second that a target bears while it is warming up; `None` if there
+    /// is no limit.
+    pub cold_flows_per_s: Option<f64>,
+}
+
 /// All routes of one version.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Manifest {
     /// Version set by the operator; increases with each change, not always by 1.
     pub version: u64,
@@ -39,4 +49,7 @@
     pub flow_idle: Duration,
     /// The routes.
     pub routes: Vec<Route>,
+    /// Limits of services that have some.
+    #[serde(default)]
+    pub services: Vec<ServiceLimits>,
 }
--- a/crates/cookie/src/peers.rs
+++ b/crates/cookie/src/peers.rs
@@ -41,9 +41,12 @@
     /// Time without a response after which a peer that is not a seed is removed:
     /// it was taken out of service, and the routers have dropped it too.
     pub forget_after: Duration,
-    /// Maximum number of peers per response, once for the querying balancer's
-    /// failure domain and once for all others.
+    /// Maximum number of peers per response that are outside of the querying balancer's
+    /// failure domain.
     pub sample_size: usize,
+    /// Maximum number of peers per response that are in its failure domain. More make
+    /// all balancers of a domain known sooner.
+    pub local_sample_size: usize,
 }
 
 impl Default for PeersConfig {
@@ -58,6 +61,7 @@
             max_monitored_peers: 6,
             forget_after: Duration::from_secs(20),
             sample_size: 4,
+            local_sample_size: 4,
         }
     }
 }
@@ -252,6 +256,12 @@
         local.map(|(address, _)| *address).collect()
     }
 
+    /// Whether any peer responds, or there is none to respond.
+    pub fn is_connected(&self) -> bool {
+        let responds = |p: &Peer| p.serves.is_some() && p.failures == 0;
+        self.known.is_empty() || self.known.values().any(responds)
+    }
+
     /// Random sample of peers that are not failing, to send to a peer in `domain`.
     pub fn sample(&mut self, domain: &str) -> Vec<PeerInfo> {
         let sample_size = self.cfg.sample_size;
@@ -262,7 +272,8 @@
             Some(PeerInfo { address, domain })
         });
         let (local, remote): (Vec<_>, Vec<_>) = candidates.partition(|n| *n.domain == *domain);
-        let mut sample = local.into_iter().sample(&mut self.rng, sample_size);
+        let local = local.into_iter();
+        let mut sample = local.sample(&mut self.rng, self.cfg.local_sample_size);
         sample.extend(remote.into_iter().sample(&mut self.rng, sample_size));
         sample
     }
--- a/crates/cookie/src/place.rs
+++ b/crates/cookie/src/place.rs
@@ -18,6 +18,10 @@
     pub cross_domain_cost: f64,
     /// Cost of a target that is still warming up, in flows per slot.
     pub cold_cost: f64,
+    /// Cost of a target whose failure domain was just taken back after an evacuation, in
+    /// flows per slot; it falls to 0. Above `cross_domain_cost`, so that flows don't all
+    /// return at once.
+    pub returning_cost: f64,
     /// Additional cost of a flow with an unanswered request, in open flows: it takes a
     /// slot now, an idle flow only may later.
     pub busy_cost: f64,
@@ -31,6 +35,7 @@
         Self {
             cross_domain_cost: 4.0,
             cold_cost: 2.0,
+            returning_cost: 8.0,
             busy_cost: 7.0,
             stalled_cost: 4.0,
         }
@@ -46,6 +51,9 @@
     pub local: bool,
     /// Whether it is still warming up after its start.
     pub cold: bool,
+    /// How far its failure domain still is from a full return after an evacuation, from
+    /// 1 to 0.
+    pub returning: f64,
     /// Whether it is suspect, or did not respond to an earlier attempt of this client.
     pub avoid: bool,
     /// Maximum number of concurrent requests; at least 1.
@@ -66,6 +74,7 @@
         if self.cold {
             cost += cfg.cold_cost;
         }
+        cost += self.returning * cfg.returning_cost;
         if self.avoid {
             cost += AVOID_COST;
         }
--- a/crates/cookie/src/presence.rs
+++ b/crates/cookie/src/presence.rs
@@ -59,6 +59,17 @@
 }
 
 impl Target {
+    /// A listed target without flows.
+    pub fn new(now: Duration, entry: TargetEntry) -> Target {
+        Target {
+            cold_until: now + entry.cold_for,
+            entry,
+            presence: Presence::Listed,
+            load: Load::default(),
+            health: Health::default(),
+        }
+    }
+
     /// Whether it accepts new flows.
     pub fn accepts_new_flows(&self) -> bool {
         let present = matches!(
--- a/crates/cookie/src/routes.rs
+++ b/crates/cookie/src/routes.rs
@@ -1,6 +1,7 @@
 //! Routes of the manifest in force.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hashbrown::{HashMap, HashSet};
@@ -38,6 +39,8 @@
 pub struct Routes {
     in_force: ManifestVersion,
     flow_idle: Option<Duration>,
+    /// New flows per second that a cold target bears, by service.
+    cold_flows_per_s: HashMap<Arc<str>, f64>,
     by_address: HashMap<SocketAddrV4, Route>,
     /// Addresses whose route was removed since this process started.
     removed: HashSet<SocketAddrV4>,
@@ -69,6 +72,12 @@
         self.removed.contains(&address)
     }
 
+    /// New flows per second that a cold target of a service bears; `None` if there is no
+    /// limit.
+    pub fn cold_flows_per_s(&self, service: &str) -> Option<f64> {
+        self.cold_flows_per_s.get(service).copied()
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.by_address.len()
@@ -99,6 +108,7 @@
         self.removed.extend(old.into_keys());
         self.removed.retain(|a| !self.by_address.contains_key(a));
         self.flow_idle = Some(manifest.flow_idle);
+        self.cold_flows_per_s = cold_rates(manifest);
         ManifestOutcome::Applied { replaced }
     }
 
@@ -108,5 +118,12 @@
         self.flow_idle == Some(manifest.flow_idle)
             && self.by_address.len() == manifest.routes.len()
             && manifest.routes.iter().all(same)
+            && self.cold_flows_per_s == cold_rates(manifest)
     }
 }
+
+fn cold_rates(manifest: &Manifest) -> HashMap<Arc<str>, f64> {
+    let limits = manifest.services.iter();
+    let limits = limits.filter_map(|l| Some((Arc::clone(&l.service), l.cold_flows_per_s?)));
+    limits.collect()
+}
--- a/crates/cookie/src/snapshot.rs
+++ b/crates/cookie/src/snapshot.rs
@@ -1,5 +1,6 @@
 //! Snapshots of manifest and targets, exchanged between balancers.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use sequoiatrail_types::StoreRevision;
@@ -7,7 +8,10 @@
 
 use crate::directory::TargetChange;
 use crate::routes::ManifestOutcome;
-use crate::{Balancer, Manifest, ManifestVersion, TargetEntry, TargetEvent, TargetId};
+use crate::{
+    Balancer, EvacuationEvent, EvacuationList, Manifest, ManifestVersion, TargetEntry, TargetEvent,
+    TargetId,
+};
 
 /// Result of checking a snapshot.
 pub type Result<T, E = SnapshotError> = std::result::Result<T, E>;
@@ -40,6 +44,12 @@
     /// Targets with an unreadable entry; they keep their flows.
     #[serde(default)]
     pub unreadable: Vec<TargetId>,
+    /// Targets that a restored store lacks and that may write their entries again.
+    #[serde(default)]
+    pub unconfirmed: Vec<TargetEntry>,
+    /// The evacuations in force; `None` if the sender doesn't follow them.
+    #[serde(default)]
+    pub evacuations: Option<EvacuationList>,
     /// The manifest in force.
     pub manifest: Manifest,
     /// Store revision at which it was written.
@@ -47,6 +57,17 @@
     pub manifest_at: StoreRevision,
 }
 
+/// What another balancer knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KnownRevisions {
+    /// Its manifest.
+    pub manifest: ManifestVersion,
+    /// Store revision of its targets.
+    pub targets: StoreRevision,
+    /// Store revision of its evacuations; `None` if it doesn't follow them.
+    pub evacuations: Option<StoreRevision>,
+}
+
 /// Result of applying a snapshot.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SnapshotOutcome {
@@ -54,6 +75,8 @@
     pub manifest: ManifestOutcome,
     /// Changes to targets.
     pub targets: Vec<(TargetId, TargetEvent)>,
+    /// Changes of evacuations.
+    pub evacuations: Vec<(Arc<str>, EvacuationEvent)>,
 }
 
 impl Snapshot {
@@ -68,7 +91,7 @@
             let served = route.shares.iter().any(|s| s.weight > 0);
             ensure!(served, NoServiceSnafu { address });
         }
-        for target in &self.targets {
+        for target in self.targets.iter().chain(&self.unconfirmed) {
             ensure!(target.slots > 0, NoSlotsSnafu { id: target.id });
         }
         Ok(())
@@ -86,19 +109,21 @@
             revision: self.directory.revision(),
             targets: self.directory.listed().cloned().collect(),
             unreadable: self.directory.unreadable_entries().collect(),
+            unconfirmed: self.directory.unconfirmed().cloned().collect(),
+            evacuations: self.evacuations.list(),
             manifest,
             manifest_at: self.routes.in_force().at,
         })
     }
 
-    /// A snapshot for a balancer with this manifest and target revision; `None` if
-    /// there is nothing newer.
-    pub fn snapshot_after(
-        &self,
-        manifest: ManifestVersion,
-        revision: StoreRevision,
-    ) -> Option<Snapshot> {
-        let newer = self.routes.in_force() > manifest || self.directory.revision() > revision;
+    /// A snapshot for a balancer that knows this much; `None` if there is nothing newer.
+    pub fn snapshot_after(&self, known: &KnownRevisions) -> Option<Snapshot> {
+        let evacuations = known
+            .evacuations
+            .is_some_and(|known| self.evacuations.revision() > known);
+        let newer = self.routes.in_force() > known.manifest
+            || self.directory.revision() > known.targets
+            || evacuations;
         if newer { self.snapshot() } else { None }
     }
 
@@ -114,12 +139,37 @@
         let manifest = self.apply_manifest(snapshot.manifest.into(), snapshot.manifest_at);
         let unreadable = snapshot.unreadable.into_iter();
         let listed = snapshot.targets.into_iter().map(TargetChange::Present);
+        let unconfirmed = snapshot.unconfirmed.into_iter();
+        let unconfirmed = unconfirmed.map(TargetChange::Unconfirmed);
         let list = listed.chain(unreadable.map(TargetChange::Unreadable));
-        let list = list.collect();
+        let list = list.chain(unconfirmed).collect();
         let targets = self
             .directory
             .replace_from_peer(now, snapshot.revision, list);
         self.reset_lost_flows(&targets);
-        Ok(SnapshotOutcome { manifest, targets })
+        let evacuations = self.apply_peer_evacuations(now, snapshot.evacuations);
+        Ok(SnapshotOutcome {
+            manifest,
+            targets,
+            evacuations,
+        })
+    }
+
+    /// Applies another balancer's evacuations. One that doesn't follow them tells none;
+    /// this balancer then serves without until the store answers.
+    fn apply_peer_evacuations(
+        &mut self,
+        now: Duration,
+        list: Option<EvacuationList>,
+    ) -> Vec<(Arc<str>, EvacuationEvent)> {
+        let unknown = EvacuationList::default();
+        let list = match list {
+            Some(list) => list,
+            None if self.evacuations.is_loaded() => return Vec::new(),
+            None => unknown,
+        };
+        let events = self.evacuations.replace_from_peer(now, list);
+        self.enforce_evacuations(&events);
+        events
     }
 }
--- a/crates/cookie/tests/common/mod.rs
+++ b/crates/cookie/tests/common/mod.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 
 use sequoiatrail_cookie::{
-    Balancer, Config, Cookie, Decision, Effects, Flags, FlowId, Lifecycle, Manifest, ProbeRequest,
-    Route, Segment, Share, TargetChange, TargetEntry, TargetEvent, TargetId,
+    Balancer, Config, Cookie, Decision, Effects, Flags, FlowId, KnownRevisions, Lifecycle,
+    Manifest, ProbeRequest, Route, Segment, Share, TargetChange, TargetEntry, TargetEvent,
+    TargetId,
 };
 
 /// Port of the route with idempotent requests.
@@ -57,6 +58,7 @@
         version,
         flow_idle: Duration::from_secs(15),
         routes,
+        services: Vec::new(),
     })
 }
 
@@ -150,6 +152,15 @@
     }
 }
 
+/// What a balancer tells when it asks another one for a snapshot.
+pub fn known(sim: &Sim) -> KnownRevisions {
+    KnownRevisions {
+        manifest: sim.balancer.routes().in_force(),
+        targets: sim.balancer.directory().revision(),
+        evacuations: sim.balancer.followed_evacuations(),
+    }
+}
+
 pub fn flow(client: u16, port: u16) -> FlowId {
     FlowId {
         client: SocketAddrV4::new(
--- a/crates/cookie/tests/peers.rs
+++ b/crates/cookie/tests/peers.rs
@@ -5,12 +5,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use common::{IDEMPOTENT, Sim, data, entry, forwarded, ms};
+use common::{IDEMPOTENT, Sim, data, entry, forwarded, known, ms};
 use sequoiatrail_cookie::{
-    ManifestOutcome, ManifestVersion, PeerChange, PeerInfo, Peers, PeersConfig, SnapshotError,
+    KnownRevisions, ManifestOutcome, PeerChange, PeerInfo, Peers, PeersConfig, SnapshotError,
     TargetChange, TargetEvent, TargetId,
 };
-use sequoiatrail_types::StoreRevision;
 
 fn address(number: u8) -> SocketAddr {
     ([10, 0, 0, number], 8_166).into()
@@ -211,7 +210,7 @@
     for n in 1..sims.len() {
         let snapshot = sims[n - 1]
             .balancer
-            .snapshot_after(ManifestVersion::default(), StoreRevision::default())
+            .snapshot_after(&KnownRevisions::default())
             .unwrap();
         let sim = &mut sims[n];
         let taken = sim.balancer.apply_snapshot(sim.now, snapshot).unwrap();
@@ -228,11 +227,8 @@
     let mut other = Sim::new(3, 0);
     other.apply_changes(vec![TargetChange::Present(entry(9, "a"))], true);
     other.apply_changes(vec![TargetChange::Gone(TargetId(2))], true);
-    let (version, revision) = (
-        cut_off.balancer.routes().in_force(),
-        cut_off.balancer.directory().revision(),
-    );
-    let snapshot = other.balancer.snapshot_after(version, revision).unwrap();
+    let before = known(&cut_off);
+    let snapshot = other.balancer.snapshot_after(&before).unwrap();
     let now = cut_off.now;
     let taken = cut_off.balancer.apply_snapshot(now, snapshot.clone());
     let taken = taken.unwrap();
@@ -241,8 +237,8 @@
     assert!(taken.targets.contains(&(TargetId(2), TargetEvent::Lapsed)));
     let again = cut_off.balancer.apply_snapshot(now, snapshot).unwrap();
     assert_eq!(again.targets, [], "a known revision changes nothing");
-    let newer = cut_off.balancer.directory().revision();
-    assert_eq!(cut_off.balancer.snapshot_after(version, newer), None);
+    let after = known(&cut_off);
+    assert_eq!(cut_off.balancer.snapshot_after(&after), None);
     let old = Sim::new(1, 0).balancer.snapshot().unwrap();
     let old = cut_off.balancer.apply_snapshot(now, old).unwrap();
     assert_eq!(old.targets, [], "an older list removes nothing");
--- a/crates/cookie/tests/restored_store.rs
+++ b/crates/cookie/tests/restored_store.rs
@@ -3,7 +3,9 @@
 
 mod common;
 
-use common::{IDEMPOTENT, NON_IDEMPOTENT, Sim, data, entry, forwarded, manifest, ms, route, syn};
+use common::{
+    IDEMPOTENT, NON_IDEMPOTENT, Sim, data, entry, forwarded, known, manifest, ms, route, syn,
+};
 use sequoiatrail_cookie::{
     Decision, EraOrder, EraTracker, Lifecycle, ManifestOutcome, ResetReason, TargetChange,
     TargetEntry, TargetEvent, TargetId,
@@ -187,15 +189,45 @@
     let now = new.now;
     let taken = new.balancer.apply_snapshot(now, outdated).unwrap();
     assert_eq!(taken.targets, []);
-    let in_force = old.balancer.routes().in_force();
-    let known = old.balancer.directory().revision();
-    let restored = new.balancer.snapshot_after(in_force, known).unwrap();
+    let known = known(&old);
+    let restored = new.balancer.snapshot_after(&known).unwrap();
     let taken = old.balancer.apply_snapshot(now, restored).unwrap();
     assert!(taken.targets.contains(&(TargetId(9), TargetEvent::Added)));
     let unconfirmed = (TargetId(3), TargetEvent::Unconfirmed);
     assert!(taken.targets.contains(&unconfirmed));
 }
 
+#[test]
+fn a_balancer_that_starts_after_a_restore_learns_unconfirmed_targets_from_peers() {
+    let mut running = Sim::new(2, 0);
+    restore(&mut running, 1, &[1]);
+    let client = 1;
+    let mut started = Sim::empty();
+    let snapshot = running.balancer.snapshot().unwrap();
+    let now = started.now;
+    let taken = started.balancer.apply_snapshot(now, snapshot).unwrap();
+    let unconfirmed = (TargetId(2), TargetEvent::Unconfirmed);
+    assert!(taken.targets.contains(&unconfirmed));
+    let seg = data(client, IDEMPOTENT, TargetId(2).cookie(), 5, 9);
+    assert_eq!(forwarded(started.decide(seg)).0, TargetId(2));
+    assert!(is_used(&mut started, TargetId(2), 100..120));
+    started.advance(ms(4_000));
+    let gone = started.balancer.sweep(started.now);
+    assert_eq!(gone, [(TargetId(2), TargetEvent::Gone)]);
+}
+
+#[test]
+fn a_gone_target_stays_gone_when_a_peer_lists_it_as_unconfirmed() {
+    let mut running = Sim::new(2, 0);
+    restore(&mut running, 1, &[1]);
+    let mut other = Sim::new(2, 0);
+    other.apply_changes(vec![TargetChange::Gone(TargetId(2))], true);
+    let snapshot = running.balancer.snapshot().unwrap();
+    let now = other.now;
+    other.balancer.apply_snapshot(now, snapshot).unwrap();
+    assert!(!is_used(&mut other, TargetId(2), 100..120));
+}
+
 #[test]
 fn a_restored_store_is_detected_once_and_responses_from_before_are_outdated() {
     let mut tracker = EraTracker::default();
--- a/crates/daemon/src/cookie/changes.rs
+++ b/crates/daemon/src/cookie/changes.rs
@@ -2,8 +2,11 @@
 
 use std::sync::Arc;
 
-use sequoiatrail_adapter::{Kind, Object, decode_manifest, decode_target, target_id};
-use sequoiatrail_cookie::{ManifestOutcome, TargetChange, TargetEvent, TargetId};
+use sequoiatrail_adapter::{Kind, Object, ObjectEvent, decode_manifest, decode_target, target_id};
+use sequoiatrail_cookie::{
+    EvacuationChange, EvacuationEvent, EvacuationList, ManifestOutcome, TargetChange, TargetEvent,
+    TargetId,
+};
 use sequoiatrail_events::Event;
 use sequoiatrail_types::StoreRevision;
 
@@ -82,6 +85,52 @@
     }
 }
 
+/// Applies a complete list of evacuations.
+pub(super) fn replace_evacuations(shared: &Shared, objects: &[Object], revision: StoreRevision) {
+    let domains = objects.iter().map(|o| Arc::from(o.name.as_str()));
+    let domains = domains.collect();
+    let now = shared.clock.now();
+    let list = EvacuationList { revision, domains };
+    let events = shared.lock().replace_evacuations(now, list);
+    log_evacuations(shared, &events, "list");
+}
+
+/// Applies changes of evacuations.
+pub(super) fn change_evacuations(shared: &Shared, events: &[ObjectEvent], revision: StoreRevision) {
+    let changes = events.iter().map(|e| EvacuationChange {
+        domain: Arc::from(e.object.name.as_str()),
+        evacuated: !e.deleted,
+    });
+    let changes = changes.collect();
+    let now = shared.clock.now();
+    let events = shared.lock().change_evacuations(now, revision, changes);
+    log_evacuations(shared, &events, "watch");
+}
+
+/// Logs changes of evacuations, with what is left in each failure domain.
+pub(super) fn log_evacuations(
+    shared: &Shared,
+    events: &[(Arc<str>, EvacuationEvent)],
+    source: &'static str,
+) {
+    for (domain, event) in events {
+        let balancer = shared.lock();
+        let listed = balancer.directory().listed();
+        let targets = listed.filter(|t| t.domain == *domain).count();
+        let flows = balancer.flows_in_domain(domain);
+        let revision = balancer.evacuations().revision().number;
+        drop(balancer);
+        shared.log.emit(Event::EvacuationChanged {
+            failure_domain: domain.to_string(),
+            change: event.into(),
+            revision,
+            source,
+            targets,
+            flows,
+        });
+    }
+}
+
 /// Logs changes of targets.
 pub(super) fn log_target_events(
     shared: &Shared,
--- a/crates/daemon/src/cookie/follower.rs
+++ b/crates/daemon/src/cookie/follower.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use sequoiatrail_adapter::{
-    Kind, ObjectEvent, check_status, decode_era, decode_list, decode_watch, list_path, watch_path,
+    Kind, Object, ObjectEvent, check_status, decode_era, decode_list, decode_watch, list_path,
+    watch_path,
 };
 use sequoiatrail_cookie::EraOrder;
 use sequoiatrail_events::Event;
@@ -14,7 +15,9 @@
 };
 use sequoiatrail_types::StoreRevision;
 
-use super::changes::{apply_manifest, log_target_events, target_change};
+use super::changes::{
+    apply_manifest, change_evacuations, log_target_events, replace_evacuations, target_change,
+};
 use super::shared::Shared;
 use crate::counters::{Count, Counters};
 
@@ -28,8 +31,8 @@
     initial_delay: Duration::from_millis(300),
     max_delay: Duration::from_millis(1_000),
 };
-/// Mean delay from a manifest change to the next watch, to batch consecutive
-/// changes; far below the required reaction time.
+/// Mean delay from a change of the manifest or of evacuations to the next watch, to
+/// batch consecutive changes; far below the required reaction time.
 const MANIFEST_BATCH_DELAY: Duration = Duration::from_millis(400);
 /// Batch delay for targets, which change more often; a draining target keeps
 /// serving for longer than this.
@@ -64,7 +67,7 @@
             watch_wait,
             batch_delay: match kind {
                 Kind::Targets => TARGETS_BATCH_DELAY,
-                Kind::Manifest | Kind::Balancers => MANIFEST_BATCH_DELAY,
+                Kind::Manifest | Kind::Evacuations | Kind::Balancers => MANIFEST_BATCH_DELAY,
             },
             resync_jitter: RESYNC_SPREAD,
             backoff: BACKOFF,
@@ -183,14 +186,33 @@
         Ok(reply)
     }
 
-    fn apply_list(&self, objects: Vec<sequoiatrail_adapter::Object>, revision: StoreRevision) {
-        let shared = &self.shared;
-        if self.kind == Kind::Manifest {
-            objects
+    fn apply_list(&self, objects: Vec<Object>, revision: StoreRevision) {
+        match self.kind {
+            Kind::Manifest => objects
                 .iter()
-                .for_each(|o| apply_manifest(shared, o, "list"));
-            return;
+                .for_each(|o| apply_manifest(&self.shared, o, "list")),
+            Kind::Targets => self.replace_targets(&objects, revision),
+            Kind::Evacuations => replace_evacuations(&self.shared, &objects, revision),
+            // Nothing follows them.
+            Kind::Balancers => {}
+        }
+    }
+
+    fn apply_events(&self, events: Vec<ObjectEvent>, revision: StoreRevision) {
+        match self.kind {
+            Kind::Manifest => {
+                let present = events.iter().filter(|e| !e.deleted);
+                present.for_each(|e| apply_manifest(&self.shared, &e.object, "watch"));
+            }
+            Kind::Targets => self.change_targets(&events, revision),
+            Kind::Evacuations => change_evacuations(&self.shared, &events, revision),
+            // Nothing follows them.
+            Kind::Balancers => {}
         }
+    }
+
+    fn replace_targets(&self, objects: &[Object], revision: StoreRevision) {
+        let shared = &self.shared;
         let changes = objects
             .iter()
             .filter_map(|o| target_change(shared, o, false));
@@ -203,13 +225,8 @@
         log_target_events(shared, &target_events, revision, "list");
     }
 
-    fn apply_events(&self, events: Vec<ObjectEvent>, revision: StoreRevision) {
+    fn change_targets(&self, events: &[ObjectEvent], revision: StoreRevision) {
         let shared = &self.shared;
-        if self.kind == Kind::Manifest {
-            let present = events.iter().filter(|e| !e.deleted);
-            present.for_each(|e| apply_manifest(shared, &e.object, "watch"));
-            return;
-        }
         let changes = events
             .iter()
             .filter_map(|e| target_change(shared, &e.object, e.deleted));
--- a/crates/daemon/src/cookie/metrics.rs
+++ b/crates/daemon/src/cookie/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Histogram, Meter};
 
 use super::shared::Shared;
@@ -45,7 +46,25 @@
     }
 }
 
+/// Gauges of each evacuated failure domain; one that is not evacuated has none.
+fn add_evacuation_gauges(meter: &Meter, shared: &Arc<Shared>) {
+    let shared = Arc::clone(shared);
+    meter
+        .u64_observable_gauge("evacuated_domain_flows")
+        .with_description("Open flows here in a failure domain that is evacuated")
+        .with_callback(move |observer| {
+            let balancer = shared.lock();
+            for domain in balancer.evacuations().domains() {
+                let flows = balancer.flows_in_domain(domain);
+                let label = KeyValue::new("failure_domain", domain.to_string());
+                observer.observe(u64::from(flows), &[label]);
+            }
+        })
+        .build();
+}
+
 fn add_gauges(meter: &Meter, shared: &Arc<Shared>) {
+    add_evacuation_gauges(meter, shared);
     let gauge = |name: &'static str, description: &'static str, value: fn(&Shared) -> u64| {
         let shared = Arc::clone(shared);
         meter
--- a/crates/daemon/src/cookie/packets.rs
+++ b/crates/daemon/src/cookie/packets.rs
@@ -11,7 +11,7 @@
 };
 use sequoiatrail_events::Event;
 
-use super::changes::log_target_events;
+use super::changes::{log_evacuations, log_target_events};
 use super::egress::Egress;
 use super::metrics::record_handling;
 use super::shared::Shared;
@@ -172,15 +172,14 @@
             return;
         }
         self.last_sweep = now;
-        let (events, revision, effects) = {
+        let (events, evacuations, revision, effects) = {
             let mut balancer = self.shared.lock();
             let events = balancer.sweep(now);
-            (
-                events,
-                balancer.directory().revision(),
-                balancer.take_effects(),
-            )
+            let evacuations = balancer.sweep_evacuations(now);
+            let revision = balancer.directory().revision();
+            (events, evacuations, revision, balancer.take_effects())
         };
+        log_evacuations(&self.shared, &evacuations, "sweep");
         log_target_events(&self.shared, &events, revision, "sweep");
         self.egress.apply_effects(now, effects);
     }
--- a/crates/daemon/src/cookie/peers/message.rs
+++ b/crates/daemon/src/cookie/peers/message.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use sequoiatrail_cookie::{ManifestVersion, PeerInfo, Snapshot};
+use sequoiatrail_cookie::{KnownRevisions, ManifestVersion, PeerInfo, Snapshot};
 use sequoiatrail_types::StoreRevision;
 use sequoiatrail_wire::{Key, TAG_BYTES};
 use serde::de::DeserializeOwned;
@@ -47,6 +47,9 @@
     /// Target revision of the requester; 0 for none.
     #[serde(flatten)]
     pub revision: StoreRevision,
+    /// Store revision of its evacuations; missing if it doesn't follow them.
+    #[serde(default)]
+    pub evacuations_at: Option<StoreRevision>,
     /// Whether to include a snapshot, since the requester can't reach the store.
     pub wants_snapshot: bool,
 }
@@ -76,11 +79,15 @@
 }
 
 impl PeerRequest {
-    /// Manifest of the requester.
-    pub fn manifest_version(&self) -> ManifestVersion {
-        ManifestVersion {
-            version: self.manifest,
-            at: self.manifest_at,
+    /// What the requester knows.
+    pub fn known_revisions(&self) -> KnownRevisions {
+        KnownRevisions {
+            manifest: ManifestVersion {
+                version: self.manifest,
+                at: self.manifest_at,
+            },
+            targets: self.revision,
+            evacuations: self.evacuations_at,
         }
     }
 }
--- a/crates/daemon/src/cookie/peers/poller.rs
+++ b/crates/daemon/src/cookie/peers/poller.rs
@@ -12,7 +12,7 @@
 
 use super::message::{MessageError, PATH, PeerRequest, PeerResponse, open, seal};
 use super::server::SharedPeers;
-use crate::cookie::changes::{log_manifest, log_target_events};
+use crate::cookie::changes::{log_evacuations, log_manifest, log_target_events};
 use crate::cookie::shared::Shared;
 use crate::counters::{Count, Counters};
 
@@ -94,8 +94,15 @@
             Ok(response) => self.handle_response(peer, response),
             Err(error) => self.handle_failure(peer, requested_at, &error),
         }
-        let minority = self.peers.lock().is_minority(self.shared.clock.now());
+        let now = self.shared.clock.now();
+        let peers = self.peers.lock();
+        let (minority, connected) = (peers.is_minority(now), peers.is_connected());
+        let local = peers.local_peers();
+        drop(peers);
         self.shared.set_minority(minority);
+        if connected {
+            self.shared.lock().record_members(now, self.own, &local);
+        }
     }
 
     fn exchange(&self, peer: SocketAddr, urgent: bool) -> Result<PeerResponse> {
@@ -142,6 +149,7 @@
             manifest: manifest.version,
             manifest_at: manifest.at,
             revision: directory.revision(),
+            evacuations_at: balancer.followed_evacuations(),
             wants_snapshot: urgent,
         }
     }
@@ -175,6 +183,7 @@
         let SnapshotOutcome {
             manifest,
             targets: events,
+            evacuations,
         } = match outcome {
             Ok(outcome) => outcome,
             Err(error) => return self.handle_failure(peer, now, &error),
@@ -189,6 +198,7 @@
         });
         log_manifest(&self.shared, manifest, version, (routes, 0), SOURCE);
         log_target_events(&self.shared, &events, revision, SOURCE);
+        log_evacuations(&self.shared, &evacuations, SOURCE);
         // The store is authoritative: relist as soon as it responds.
         self.shared.request_relist();
     }
--- a/crates/daemon/src/cookie/peers/server.rs
+++ b/crates/daemon/src/cookie/peers/server.rs
@@ -161,6 +161,6 @@
             return None;
         }
         let balancer = self.shared.lock();
-        balancer.snapshot_after(request.manifest_version(), request.revision)
+        balancer.snapshot_after(&request.known_revisions())
     }
 }
--- a/crates/daemon/src/cookie/reload.rs
+++ b/crates/daemon/src/cookie/reload.rs
@@ -67,7 +67,16 @@
             shared.set_store(&loaded.settings.platform);
         }
         if diff.balancer {
-            shared.lock().configure(balancer_config(&loaded.settings));
+            let cookie = CookieSettings {
+                // Without its follower the list would never be known.
+                evacuations: self.started.cookie.evacuations,
+                ..loaded.settings.cookie.clone()
+            };
+            let settings = Settings {
+                cookie,
+                ..loaded.settings.clone()
+            };
+            shared.lock().configure(balancer_config(&settings));
         }
         shared.log.emit(Event::SettingsReloaded {
             applied: diff.applied().join(" "),
@@ -92,6 +101,8 @@
         let (a, b) = (&current.cookie, &new.cookie);
         let balancer = a.failure_domain != b.failure_domain
             || a.flow_max_age_s != b.flow_max_age_s
+            || a.cold_flow_factor != b.cold_flow_factor
+            || a.cold_flow_tolerance != b.cold_flow_tolerance
             || current.data.max_flows != new.data.max_flows;
         SettingsDiff {
             platform: current.platform != new.platform,
@@ -113,6 +124,8 @@
     let cookie = CookieSettings {
         failure_domain: b.failure_domain.clone(),
         flow_max_age_s: b.flow_max_age_s,
+        cold_flow_factor: b.cold_flow_factor,
+        cold_flow_tolerance: b.cold_flow_tolerance,
         ..a.clone()
     };
     let data = DataSettings {
--- a/crates/daemon/src/cookie/start.rs
+++ b/crates/daemon/src/cookie/start.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use sequoiatrail_adapter::Kind;
-use sequoiatrail_cookie::{Balancer, Config, PeerInfo, Peers, PeersConfig, TargetId};
+use sequoiatrail_cookie::{Balancer, Config, PeerInfo, Peers, PeersConfig, TargetId, WarmupConfig};
 use sequoiatrail_events::{Event, Log};
 use sequoiatrail_settings::Settings;
 use sequoiatrail_types::{Clock, SystemClock};
@@ -33,6 +33,10 @@
 /// the largest size.
 const MAX_RECEIVE_BUFFER_BYTES: usize = 1 << 20;
 
+/// Peers per response in the own failure domain if cold targets have a quota, whose
+/// shares depend on how many balancers are known.
+const QUOTA_SAMPLE_SIZE: usize = 32;
+
 /// Starts all threads and servers.
 pub(super) fn start(file: PathBuf, settings: Settings, log: Log) -> Result<CookieDaemon> {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
@@ -94,7 +98,12 @@
 impl CookieDaemon {
     fn start_followers(&mut self, settings: &Settings) -> Result<()> {
         let watch_wait = Duration::from_millis(settings.cookie.watch_wait_ms);
-        for kind in [Kind::Manifest, Kind::Targets] {
+        let evacuations = settings.cookie.evacuations;
+        let evacuations = evacuations.then_some(Kind::Evacuations);
+        for kind in [Kind::Manifest, Kind::Targets]
+            .into_iter()
+            .chain(evacuations)
+        {
             let follower = Follower::new(Arc::clone(&self.shared), kind, watch_wait);
             self.spawn(kind.name(), move || {
                 follower.run();
@@ -115,7 +124,10 @@
                 reason: e.to_string(),
             })?),
         };
-        let cfg = PeersConfig::default();
+        let mut cfg = PeersConfig::default();
+        if settings.cookie.cold_flow_factor > 0.0 {
+            cfg.local_sample_size = QUOTA_SAMPLE_SIZE;
+        }
         let own = PeerInfo {
             address: listen,
             domain: self.shared.lock().domain(),
@@ -224,6 +236,11 @@
         domain: Arc::from(settings.cookie.failure_domain.as_str()),
         flow_max_age: Duration::from_secs_f64(settings.cookie.flow_max_age_s),
         max_flows: settings.data.max_flows,
+        follow_evacuations: settings.cookie.evacuations,
+        warmup: WarmupConfig {
+            overload_factor: settings.cookie.cold_flow_factor,
+            tolerance: settings.cookie.cold_flow_tolerance,
+        },
         ..Config::default()
     }
 }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -70,7 +70,12 @@
 
     /// Starts a target and registers it in the store.
     pub fn target(&self, id: u64, service: &str) -> Target {
-        let location = (service, "a");
+        self.target_in("a", id, service)
+    }
+
+    /// Starts a target in a failure domain and registers it in the store.
+    pub fn target_in(&self, domain: &str, id: u64, service: &str) -> Target {
+        let location = (service, domain);
         let target = Target::start(
             TargetId(id),
             location,
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -437,6 +437,21 @@
         /// Address of the balancer with the last report.
         peer: SocketAddr,
     }
+    /// An evacuation of a failure domain has changed: its targets get no new flows while it is in force. Open flows go on.
+    724 Info EvacuationChanged {
+        /// The failure domain.
+        failure_domain: String,
+        /// What has changed: `in_force`, `taken_back`, or `unconfirmed` if a restored store lacks it and it stays in force for a few seconds.
+        change: &'static str,
+        /// Store revision of the list.
+        revision: u64,
+        /// What it was learned from: `list`, `watch`, `peer` or `sweep`.
+        source: &'static str,
+        /// Listed targets in the failure domain; with 0 the name may be mistyped.
+        targets: usize,
+        /// Open flows of this balancer there.
+        flows: u32,
+    }
     /// This balancer signals the routers to start or stop sending it packets.
     712 Info ReadinessChanged {
         /// Whether the balancer accepts packets.
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -17,8 +17,8 @@
     value.as_integer().is_some_and(|n| (MIN..=MAX).contains(&n))
 }
 
-/// Accepts an integer or fractional number of seconds from `MIN` to `MAX`.
-pub(crate) fn seconds<const MIN: i64, const MAX: i64>(value: &Value) -> bool {
+/// Accepts an integer or fractional number from `MIN` to `MAX`.
+pub(crate) fn decimal<const MIN: i64, const MAX: i64>(value: &Value) -> bool {
     let whole = value.as_integer().map(|n| n as f64);
     let number = value.as_float().or(whole);
     number.is_some_and(|n| (MIN as f64..=MAX as f64).contains(&n))
--- a/crates/settings/src/cookie.rs
+++ b/crates/settings/src/cookie.rs
@@ -23,9 +23,15 @@
         /// Client port to which resets are sent; 0 means the port of `data.listen`.
         caller_port: u16 = 0, "0 to 65535", check::number::<0, 65_535>;
         /// Age after which a flow may be discarded, in seconds.
-        flow_max_age_s: f64 = 60.0, "1 to 86400", check::seconds::<1, 86_400>;
+        flow_max_age_s: f64 = 60.0, "1 to 86400", check::decimal::<1, 86_400>;
         /// Time from SIGTERM to SIGKILL, in seconds.
-        stop_grace_s: f64 = 6.0, "1 to 3600", check::seconds::<1, 3_600>;
+        stop_grace_s: f64 = 6.0, "1 to 3600", check::decimal::<1, 3_600>;
+        /// Whether the operator's evacuations of failure domains are followed in the store.
+        evacuations: bool = false, "true, false", check::boolean;
+        /// Factor on the rate of new flows that a target bears while it is warming up, over all balancers; 0 turns its quota off. The rate itself is part of the manifest.
+        cold_flow_factor: f64 = 0.0, "0 to 100", check::decimal::<0, 100>;
+        /// New flows per second added to that quota.
+        cold_flow_tolerance: f64 = 0.0, "0 to 10000", check::decimal::<0, 10_000>;
         /// Maximum duration of a watch request to the store, in milliseconds; it bounds the time to detect an unresponsive store.
         watch_wait_ms: u64 = 2_500, "100 to 30000", check::number::<100, 30_000>;
     }
