fix(cookie): a balancer that reaches only evacuated targets asks for no packets

Change: evacuated targets don't count, and a balancer in an evacuated domain probes all targets of a domain in which some are silent. The test fails without it.

--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -97,14 +97,11 @@
         self.overload.limit(now, service)
     }
 
-    /// Whether there are targets that accept new flows and all of them are silent.
-    /// This VM is then likely partitioned from them, while other VMs may not be.
+    /// Whether there are targets that new flows may go to and all of them are silent.
+    /// This VM is then likely partitioned from them, while other VMs may not be. Targets
+    /// of evacuated failure domains don't count, even if only they can be reached.
     pub fn is_isolated(&self) -> bool {
-        let mut usable = self
-            .directory
-            .iter()
-            .filter(|t| t.accepts_new_flows())
-            .peekable();
+        let mut usable = self.directory.usable().peekable();
         usable.peek().is_some() && usable.all(|t| t.health.is_silent())
     }
 
--- a/crates/cookie/src/directory.rs
+++ b/crates/cookie/src/directory.rs
@@ -234,6 +234,12 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Targets that new flows may go to.
+    pub(crate) fn usable(&self) -> impl Iterator<Item = &Target> {
+        let keys = self.by_service.values().flatten();
+        keys.filter_map(|key| self.get(*key))
+    }
+
     pub(crate) fn get(&self, key: TargetKey) -> Option<&Target> {
         self.targets.get(key.0 as usize)?.as_ref()
     }
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -32,7 +32,9 @@
     }
 
     /// Requests probes of all targets with flows here in a failure domain in which
-    /// several targets are silent: the whole domain may be unreachable.
+    /// several targets are silent: the whole domain may be unreachable. If the own one
+    /// is evacuated, those without flows are probed too, since this balancer can't serve
+    /// at all if it reaches none.
     fn probe_domain(&mut self, now: Duration, domain: &str) {
         let in_domain = |t: &&mut Target| *t.entry.domain == *domain && !t.is_gone();
         let silent = self.directory.iter_mut().filter(in_domain);
@@ -40,8 +42,9 @@
         if silent < SILENT_TARGETS_THRESHOLD {
             return;
         }
+        let evacuated = self.evacuations.contains(&self.cfg.domain);
         for target in self.directory.iter_mut().filter(in_domain) {
-            if target.load.flows > 0 && target.health.request_probe(now) {
+            if (evacuated || target.load.flows > 0) && target.health.request_probe(now) {
                 self.pending.probes.push(probe_request(target, now));
             }
         }
--- a/crates/cookie/tests/evacuations.rs
+++ b/crates/cookie/tests/evacuations.rs
@@ -6,8 +6,8 @@
 
 use common::{IDEMPOTENT, Sim, data, entry, forwarded, known, ms, syn};
 use sequoiatrail_cookie::{
-    Config, Decision, EvacuationChange, EvacuationEvent, EvacuationList, ResetReason, TargetChange,
-    TargetId,
+    Config, Decision, EvacuationChange, EvacuationEvent, EvacuationList, ProbeRequest, ResetReason,
+    TargetChange, TargetId,
 };
 use sequoiatrail_types::{Era, StoreRevision};
 
@@ -134,6 +134,24 @@
     assert_eq!(later, 20);
 }
 
+#[test]
+fn a_balancer_in_an_evacuated_domain_that_is_cut_off_finds_itself_isolated() {
+    let mut sim = Sim::new(4, 8);
+    evacuate(&mut sim, 20, &["a"]);
+    for client in 1..4 {
+        sim.decide(syn(client, IDEMPOTENT, 0));
+    }
+    sim.advance(ms(70));
+    for client in 4..8 {
+        sim.decide(syn(client, IDEMPOTENT, 0));
+    }
+    let reachable = |probe: &ProbeRequest| probe.target <= TargetId(4);
+    for _ in 0..2 {
+        sim.complete_probes(reachable);
+    }
+    assert!(sim.balancer.is_isolated());
+}
+
 #[test]
 fn an_evacuation_is_put_again_after_it_was_taken_back() {
     let mut sim = Sim::new(2, 2);
--- a/crates/daemon/tests/evacuations.rs
+++ b/crates/daemon/tests/evacuations.rs
@@ -75,7 +75,10 @@
     platform.store.remove_target(&remote.name());
     platform.store.evacuate("a");
     wait_for("new flows are refused", || {
-        matches!(platform.clients.open(address(APP)), Err(Outcome::Reset { .. }))
+        matches!(
+            platform.clients.open(address(APP)),
+            Err(Outcome::Reset { .. })
+        )
     });
 }
 
