fix(cookie): a target that joins does not end the isolation before it answers

Cause: after a balancer had found that it reaches no target, any target that the store listed next made it ready again; the routers sent it clients until the new target had failed its probes too. Change: a target that joins while none can be reached counts as unreachable until it answers; it is probed at once and may get flows.

--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -97,12 +97,12 @@
         self.overload.limit(now, service)
     }
 
-    /// Whether there are targets that new flows may go to and all of them are silent.
-    /// This VM is then likely partitioned from them, while other VMs may not be. Targets
-    /// of evacuated failure domains don't count, even if only they can be reached.
+    /// Whether there are targets that new flows may go to and none can be reached. This
+    /// VM is then likely partitioned from them, while other VMs may not be. Targets of
+    /// evacuated failure domains don't count, even if only they can be reached.
     pub fn is_isolated(&self) -> bool {
         let mut usable = self.directory.usable().peekable();
-        usable.peek().is_some() && usable.all(|t| t.health.is_silent())
+        usable.peek().is_some() && usable.all(|t| t.health.is_unreachable())
     }
 
     /// Failure domain of this VM.
@@ -175,8 +175,9 @@
         list: Vec<TargetChange>,
         store_stable: bool,
     ) -> Vec<(TargetId, TargetEvent)> {
+        let isolated = self.is_isolated();
         let events = self.directory.replace(now, revision, list, store_stable);
-        self.reset_lost_flows(&events);
+        self.handle_target_events(isolated, &events);
         events
     }
 
@@ -188,11 +189,28 @@
         changes: Vec<TargetChange>,
         store_stable: bool,
     ) -> Vec<(TargetId, TargetEvent)> {
+        let isolated = self.is_isolated();
         let events = self.directory.apply(now, revision, changes, store_stable);
-        self.reset_lost_flows(&events);
+        self.handle_target_events(isolated, &events);
         events
     }
 
+    /// `isolated` is whether this balancer reached no target before the changes: one that
+    /// joins then does not end that before it answers.
+    pub(crate) fn handle_target_events(
+        &mut self,
+        isolated: bool,
+        events: &[(TargetId, TargetEvent)],
+    ) {
+        self.reset_lost_flows(events);
+        let joined = events
+            .iter()
+            .filter(|(_, event)| *event == TargetEvent::Added);
+        for (id, _) in joined.filter(|_| isolated) {
+            self.directory.mark_unproven(*id);
+        }
+    }
+
     /// Applies a complete list of evacuations; see [`Evacuations`].
     pub fn replace_evacuations(
         &mut self,
--- a/crates/cookie/src/directory.rs
+++ b/crates/cookie/src/directory.rs
@@ -234,6 +234,13 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Makes a target count as unreachable until it answers.
+    pub(crate) fn mark_unproven(&mut self, id: TargetId) {
+        if let Some(target) = self.find(id) {
+            target.health.mark_unproven();
+        }
+    }
+
     /// Targets that new flows may go to.
     pub(crate) fn usable(&self) -> impl Iterator<Item = &Target> {
         let keys = self.by_service.values().flatten();
--- a/crates/cookie/src/health.rs
+++ b/crates/cookie/src/health.rs
@@ -92,6 +92,8 @@
     last_result: Option<Duration>,
     /// Consecutive failed probes.
     failed_probes: u32,
+    /// Whether it joined while no target could be reached and has not answered since.
+    unproven: bool,
 }
 
 impl Health {
@@ -164,7 +166,7 @@
             .saturating_mul(1 << self.failed_probes.min(8));
         let interval = interval.min(cfg.max_probe_interval);
         let recent = self.last_probe.is_some_and(|at| now < at + interval);
-        let wanted = self.liveness == Liveness::Silent || self.has_evidence(now, cfg);
+        let wanted = self.is_unreachable() || self.has_evidence(now, cfg);
         if recent || !wanted {
             return false;
         }
@@ -203,6 +205,7 @@
         self.last_result = Some(requested_at);
         let before = self.liveness;
         if answered {
+            self.unproven = false;
             self.failed_probes = 0;
             self.liveness = Liveness::Responsive;
             self.oldest_syn = None;
@@ -216,6 +219,17 @@
         before != Liveness::Silent
     }
 
+    /// Requests a probe of a target that joined while no other one could be reached. It
+    /// may get flows, but does not count as reachable before it answers.
+    pub(crate) fn mark_unproven(&mut self) {
+        self.unproven = true;
+    }
+
+    /// Whether the target is silent, or was never heard and joined while all were.
+    pub fn is_unreachable(&self) -> bool {
+        self.unproven || self.is_silent()
+    }
+
     /// Whether the target failed its probes, so that its flows should be reset.
     pub fn is_silent(&self) -> bool {
         self.liveness == Liveness::Silent
--- a/crates/cookie/src/snapshot.rs
+++ b/crates/cookie/src/snapshot.rs
@@ -143,10 +143,11 @@
         let unconfirmed = unconfirmed.map(TargetChange::Unconfirmed);
         let list = listed.chain(unreadable.map(TargetChange::Unreadable));
         let list = list.chain(unconfirmed).collect();
+        let isolated = self.is_isolated();
         let targets = self
             .directory
             .replace_from_peer(now, snapshot.revision, list);
-        self.reset_lost_flows(&targets);
+        self.handle_target_events(isolated, &targets);
         let evacuations = self.apply_peer_evacuations(now, snapshot.evacuations);
         Ok(SnapshotOutcome {
             manifest,
--- a/crates/cookie/tests/silent_targets.rs
+++ b/crates/cookie/tests/silent_targets.rs
@@ -190,6 +190,19 @@
     assert!(!sim.balancer.is_isolated());
 }
 
+#[test]
+fn a_target_that_joins_does_not_end_the_isolation_until_it_answers() {
+    let mut sim = Sim::new(1, 0);
+    let target = sim.open(1, IDEMPOTENT);
+    make_silent(&mut sim, 1, IDEMPOTENT, target);
+    sim.apply_changes(vec![TargetChange::Present(entry(2, "b"))], true);
+    assert!(sim.balancer.is_isolated());
+    sim.advance(ms(500));
+    sim.balancer.sweep(sim.now);
+    sim.complete_probes(|probe| probe.target == TargetId(2));
+    assert!(!sim.balancer.is_isolated());
+}
+
 #[test]
 fn a_silent_target_is_probed_without_traffic() {
     let mut sim = Sim::new(1, 0);
--- a/crates/soak/src/balancers.rs
+++ b/crates/soak/src/balancers.rs
@@ -71,7 +71,7 @@
              [cookie]\nfailure_domain = \"a\"\nhttp_listen = \"{}\"\n\
              readiness_path = \"/sequoiatrail/readiness\"\ncaller_port = {caller_port}\n\
              peers_listen = \"{}\"\n\
-             watch_wait_ms = 1000\nstop_grace_s = 4.0\n\
+             watch_wait_ms = 1000\nstop_grace_s = 4.0\nevacuations = true\n\
              [peers]\nkey = \"{PEER_KEY}\"\nseeds = [{}]\n[log]\nformat = \"json\"\n",
             self.packets,
             self.store_proxy.addr(),
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -1,15 +1,16 @@
 //! Clients that keep flows open during the faults, and their results.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use sequoiatrail_cookie::TargetId;
 use sequoiatrail_stand_in::{Clients, ExecutionLog, Flow, Outcome};
 
-use crate::targets::{SERVICES, route};
+use crate::targets::{SERVICES, is_evacuated, route};
 
 /// Timeout of a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -17,6 +18,8 @@
 const MAX_REQUESTS_PER_FLOW: u32 = 12;
 /// Pauses between requests on a flow, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 5..250;
+/// Time until an evacuation is in force on all balancers while the store is well.
+const EVACUATION_BOUND: Duration = Duration::from_secs(3);
 /// Max violations in a report.
 const MAX_VIOLATIONS: usize = 20;
 
@@ -26,6 +29,8 @@
     stopped: AtomicBool,
     /// Whether the run has planned changes only, so that every flow must survive.
     planned: bool,
+    /// When the evacuation in force was requested.
+    evacuated_since: Mutex<Option<Instant>>,
     execution_log: ExecutionLog,
     pub answered: AtomicU64,
     pub reset: AtomicU64,
@@ -39,6 +44,7 @@
             next_request: AtomicU64::new(1),
             stopped: AtomicBool::new(false),
             planned,
+            evacuated_since: Mutex::default(),
             execution_log: execution_log.clone(),
             answered: AtomicU64::new(0),
             reset: AtomicU64::new(0),
@@ -51,6 +57,23 @@
         self.stopped.store(true, Ordering::Release);
     }
 
+    /// Records that the operator has requested an evacuation, or is about to take the
+    /// failure domain back.
+    pub fn set_evacuated(&self, evacuated: bool) {
+        *self.lock_evacuated() = evacuated.then(Instant::now);
+    }
+
+    fn lock_evacuated(&self) -> MutexGuard<'_, Option<Instant>> {
+        let since = self.evacuated_since.lock();
+        since.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether no new flow may reach the failure domain that is evacuated.
+    fn is_evacuation_due(&self) -> bool {
+        let since = *self.lock_evacuated();
+        since.is_some_and(|since| since.elapsed() > EVACUATION_BOUND)
+    }
+
     pub fn add_violation(&self, violation: String) {
         let mut violations = self
             .violations
@@ -146,9 +169,17 @@
 
 fn run(mut rng: ChaCha8Rng, clients: &Clients, results: &Results) {
     while !results.stopped.load(Ordering::Acquire) {
+        let evacuated = results.planned && results.is_evacuation_due();
         let service = rng.random_range(0..SERVICES.len());
         match clients.open(route(service)) {
-            Ok(flow) => run_flow(flow, service, &mut rng, results),
+            Ok(flow) => {
+                // The identities of these targets are their cookies.
+                let target = TargetId(u64::from(flow.cookie()));
+                if evacuated && results.is_evacuation_due() && is_evacuated(target) {
+                    results.add_violation(format!("{} went to an evacuated target", flow.id()));
+                }
+                run_flow(flow, service, &mut rng, results);
+            }
             Err(outcome) if results.planned => {
                 results.add_violation(format!("no flow to {}: {outcome:?}", SERVICES[service].0));
             }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,8 +14,8 @@
 use crate::clients::{Results, start};
 use crate::copies::Copies;
 use crate::error::{Error, FileSnafu, Result, SocketSnafu};
-use crate::schedule::{Action, Link, Step, is_planned, steps};
-use crate::targets::Targets;
+use crate::schedule::{Action, Link, Step, has_evacuations, is_planned, steps};
+use crate::targets::{EVACUATED_DOMAIN, Targets};
 
 /// Number of client threads.
 const CLIENTS: u64 = 12;
@@ -62,6 +62,7 @@
     balancers: Vec<Balancer>,
     copies: Copies,
     deferred: Vec<(Instant, Deferred)>,
+    results: Arc<Results>,
     /// Balancers whose exit was caused by the run.
     exit_requested: Vec<bool>,
     pick: usize,
@@ -76,12 +77,16 @@
         let planned = is_planned(seed);
         let (execution_log, router) = (ExecutionLog::default(), Router::start());
         let clients = Clients::start(router.clone()).context(SocketSnafu)?;
-        let mut run = Run::start(settings, &logs, &clients, &execution_log)?;
+        let results = Arc::new(Results::new(planned, &execution_log));
+        let targets = |store: &Store| {
+            let two_domains = has_evacuations(seed);
+            Targets::start(store, clients.port(), &execution_log, two_domains)
+        };
+        let mut run = Run::start(settings, &logs, &clients, &results, targets)?;
         for balancer in &run.balancers {
             router.add(balancer.packets, balancer.readiness);
         }
         run.wait_ready(&router, &logs)?;
-        let results = Arc::new(Results::new(planned, &execution_log));
         let threads = start(CLIENTS, seed, &clients, &results);
         let steps = steps(seed, settings.balancers, settings.faults_for);
         run.execute_steps(&steps)?;
@@ -114,12 +119,13 @@
         settings: &Settings,
         logs: &std::path::Path,
         clients: &Clients,
-        execution_log: &ExecutionLog,
+        results: &Arc<Results>,
+        targets: impl Fn(&Store) -> Result<Targets>,
     ) -> Result<Run> {
         let store = Store::start().map_err(|e| Error::Store {
             reason: e.to_string(),
         })?;
-        let targets = Targets::start(&store, clients.port(), execution_log)?;
+        let targets = targets(&store)?;
         let mut ports = Ports::new();
         let numbers = 0..settings.balancers;
         let peers: Vec<_> = numbers.clone().map(|_| ports.allocate()).collect();
@@ -135,6 +141,7 @@
             balancers: balancers?,
             copies: Copies::default(),
             deferred: Vec::new(),
+            results: Arc::clone(results),
             exit_requested: vec![false; settings.balancers],
             pick: 0,
         })
@@ -203,6 +210,14 @@
             Action::CrashTarget => self.targets.crash(&self.store, self.pick)?,
             Action::RestartTarget => self.targets.restart(&self.store, self.pick)?,
             Action::Manifest => self.targets.put_manifest(&self.store),
+            Action::Evacuate(true) => {
+                self.store.evacuate(EVACUATED_DOMAIN);
+                self.results.set_evacuated(true);
+            }
+            Action::Evacuate(false) => {
+                self.results.set_evacuated(false);
+                self.store.take_back(EVACUATED_DOMAIN);
+            }
             Action::UnreadableEntry => self.targets.put_unreadable_entry(&self.store),
         }
         Ok(())
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -22,6 +22,11 @@
 /// First seed with restores of the store. Lower ones keep the schedules that the
 /// failed seeds in `seeds.txt` were found with.
 const FIRST_SEED_WITH_RESTORES: u64 = 3_000;
+/// First seed with evacuations of a failure domain, in place of restores.
+const FIRST_SEED_WITH_EVACUATIONS: u64 = 4_000;
+/// Range of the time for which a failure domain is evacuated and of the pause after it,
+/// in milliseconds.
+const EVACUATION_MS: std::ops::Range<u64> = 500..6_000;
 
 /// Behaviour of the connection between a balancer and the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -73,6 +78,8 @@
     Manifest,
     /// An unreadable target entry appears in the store.
     UnreadableEntry,
+    /// A failure domain is evacuated (`true`) or taken back (`false`).
+    Evacuate(bool),
 }
 
 /// An action and its time since the start of the faults.
@@ -93,6 +100,11 @@
     seed.is_multiple_of(2)
 }
 
+/// Whether a seed has evacuations, with targets in two failure domains.
+pub(crate) fn has_evacuations(seed: u64) -> bool {
+    seed >= FIRST_SEED_WITH_EVACUATIONS
+}
+
 /// Generates the steps of a seed.
 pub(crate) fn steps(seed: u64, balancers: usize, duration: Duration) -> Vec<Step> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -101,7 +113,10 @@
     loop {
         at += Duration::from_millis(rng.random_range(PAUSE_MS));
         if at >= duration {
-            add_restores(seed, duration, &mut steps);
+            match has_evacuations(seed) {
+                true => add_evacuations(seed, duration, &mut steps),
+                false => add_restores(seed, duration, &mut steps),
+            }
             return steps;
         }
         let action = match is_planned(seed) {
@@ -136,6 +151,25 @@
     steps.sort_by_key(|step| step.at);
 }
 
+/// Adds evacuations, which overlap with the other steps of the seed. The domain is
+/// taken back at the end.
+fn add_evacuations(seed: u64, duration: Duration, steps: &mut Vec<Step>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+    let mut at = Duration::ZERO;
+    let mut evacuated = false;
+    loop {
+        at += Duration::from_millis(rng.random_range(EVACUATION_MS));
+        if at >= duration && !evacuated {
+            break;
+        }
+        evacuated = !evacuated;
+        let action = Action::Evacuate(evacuated);
+        let at = at.min(duration);
+        steps.push(Step { at, action });
+    }
+    steps.sort_by_key(|step| step.at);
+}
+
 fn planned_action(rng: &mut ChaCha8Rng, balancers: usize) -> Action {
     let balancer = rng.random_range(0..balancers);
     match rng.random_range(0..8) {
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -23,11 +23,19 @@
 /// Heartbeat interval of targets: they write to a restored store again after it.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
 
+/// Failure domain that is evacuated; its targets have odd identities.
+pub(crate) const EVACUATED_DOMAIN: &str = "b";
+
 /// Address of a service's route.
 pub(crate) fn route(service: usize) -> SocketAddrV4 {
     SocketAddrV4::new([198, 18, 0, 1].into(), SERVICES[service].1)
 }
 
+/// Whether a target is in [`EVACUATED_DOMAIN`] if there are two failure domains.
+pub(crate) fn is_evacuated(target: TargetId) -> bool {
+    !target.0.is_multiple_of(2)
+}
+
 /// All targets.
 pub(crate) struct Targets {
     live: Vec<(usize, Target)>,
@@ -36,6 +44,8 @@
     expiring: VecDeque<(Instant, String)>,
     /// When the operator and the targets write to the restored store again.
     write_again_at: Option<Instant>,
+    /// Whether there are targets in [`EVACUATED_DOMAIN`] too.
+    two_domains: bool,
     next_id: u64,
     version: u64,
     caller_port: u16,
@@ -43,12 +53,19 @@
 }
 
 impl Targets {
-    pub fn start(store: &Store, caller_port: u16, execution_log: &ExecutionLog) -> Result<Targets> {
+    /// Starts the first targets of all services.
+    pub fn start(
+        store: &Store,
+        caller_port: u16,
+        execution_log: &ExecutionLog,
+        two_domains: bool,
+    ) -> Result<Targets> {
         let mut targets = Targets {
             live: Vec::new(),
             leaving: VecDeque::new(),
             expiring: VecDeque::new(),
             write_again_at: None,
+            two_domains,
             next_id: 0x1000,
             version: 0,
             caller_port,
@@ -168,11 +185,26 @@
 
     fn add(&mut self, store: &Store, service: usize) -> Result<()> {
         self.next_id += 1;
+        if self.two_domains && is_evacuated(TargetId(self.next_id)) && self.remaining(service) < 2 {
+            self.next_id += 1;
+        }
         self.launch(store, service, TargetId(self.next_id))
     }
 
+    /// Number of targets of a service that an evacuation leaves; never 0 between two
+    /// planned changes.
+    fn remaining(&self, service: usize) -> usize {
+        let live = self.live.iter().filter(|(of, _)| *of == service);
+        live.filter(|(_, target)| !is_evacuated(target.id()))
+            .count()
+    }
+
     fn launch(&mut self, store: &Store, service: usize, id: TargetId) -> Result<()> {
-        let service_and_domain = (SERVICES[service].0, "a");
+        let domain = match self.two_domains && is_evacuated(id) {
+            true => EVACUATED_DOMAIN,
+            false => "a",
+        };
+        let service_and_domain = (SERVICES[service].0, domain);
         let target = Target::start(
             id,
             service_and_domain,
