feat(cookie): balancers of a failure domain tell each other their load

Cause: with many balancers each has few of a target's flows, so that a target with a long queue looks idle to most of them, and none knows a service's demand.

Change: each balancer sends bounded load reports (at most 12 KB/s in all) to the others of its failure domain in turn, on the port of the reports of suspect targets. `DomainLoad` adds up what was heard lately; unheard balancers count as the mean of those heard. Reports are binary: a target takes 6 bytes, in JSON 40. No decision reads it yet.

--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -1,5 +1,6 @@
 //! Data path state of one process, and its updates.
 
+use std::hash::BuildHasher;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use crate::attempts::RecentAttempts;
 use crate::directory::TargetChange;
 use crate::effects::Pending;
+use crate::load_exchange::OwnLoad;
 use crate::overload::Overload;
 use crate::reports::Reports;
 use crate::routes::ManifestOutcome;
@@ -24,6 +26,10 @@
 /// balancer, so that retransmitted SYNs go to the same service.
 const SPLIT_SEED: u64 = 0x5e71;
 
+/// Hash seed for the number of the process, which must not depend on other uses of the
+/// random number generator.
+const PROCESS_SEED: u64 = 0x10ad;
+
 /// Data path state of one process.
 pub struct Balancer {
     pub(crate) cfg: Config,
@@ -36,6 +42,7 @@
     pub(crate) overload: Overload,
     pub(crate) reports: Reports,
     pub(crate) domain_load: DomainLoad,
+    pub(crate) own_load: OwnLoad,
     pub(crate) pending: Pending,
     pub(crate) service_hasher: FixedState,
     /// SYNs are dropped until then because a pause of this process delayed them.
@@ -58,6 +65,7 @@
             overload: Overload::default(),
             reports: Reports::default(),
             domain_load: DomainLoad::default(),
+            own_load: OwnLoad::new(FixedState::with_seed(PROCESS_SEED).hash_one(seed) as u32),
             pending: Pending::default(),
             service_hasher: FixedState::with_seed(SPLIT_SEED),
             drop_syns_until: Duration::ZERO,
@@ -174,6 +182,7 @@
         self.expire_requests(now);
         self.attempts.sweep(now);
         self.reports.sweep(now);
+        self.own_load.rates.sweep(now);
         let overloads = self.overload.take_changes(now);
         self.pending.overloads.extend(overloads);
         self.unknown.sweep(now, self.cfg.flow_max_age);
--- a/crates/cookie/src/decide.rs
+++ b/crates/cookie/src/decide.rs
@@ -30,6 +30,7 @@
         let Some(route) = self.routes.get(seg.flow.route) else {
             return reset(seg, ResetReason::NoRoute);
         };
+        let priority = route.priority;
         let service = self.select_service(&seg.flow, route);
         let known = self.flows.get(&seg.flow);
         let outdated = seg.ack > 0 && known.is_some_and(|flow| flow.open || flow.closed);
@@ -52,7 +53,11 @@
         }
         // A retransmitted SYN is never refused: an earlier one may have opened the flow.
         let first = seg.ack == 0 && existing.is_none();
+        if first {
+            self.own_load.rates.record_flow(now, &service, priority);
+        }
         if first && !self.admits(now, &service, seg) {
+            self.own_load.rates.record_refusal(now, &service, priority);
             return reset(seg, ResetReason::Overloaded);
         }
         let avoid = match existing.filter(|_| retransmit) {
@@ -60,6 +65,9 @@
             None => self.attempts.failed_target(now, &seg.flow),
         };
         let Some(key) = self.place(now, &service, avoid) else {
+            if first {
+                self.own_load.rates.record_refusal(now, &service, priority);
+            }
             return reset(seg, ResetReason::NoTarget);
         };
         self.start_flow(now, seg, key);
--- a/crates/cookie/src/load_report.rs
+++ b/crates/cookie/src/load_report.rs
@@ -1,24 +1,33 @@
 //! Reports of load between the balancers of a failure domain.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
-use crate::TargetId;
+use crate::Cookie;
 
 /// Load of one balancer, as it tells the others of its failure domain.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct LoadReport {
+    /// Random number of the process; another one means that the balancer restarted.
+    pub process: u32,
     /// Number of the report; rises with each report of a process.
     pub number: u64,
-    /// Its services with recent traffic.
+    /// Time after which the receiver gets the next one; set by the sender, which knows
+    /// how many it tells.
+    pub turn: Duration,
+    /// A balancer of the failure domain that it heard lately, another one each time, so
+    /// that all learn of each other.
+    pub heard: Option<SocketAddr>,
+    /// Its services with recent traffic, those with the most demand first.
     pub services: Vec<ServiceLoadReport>,
-    /// Its targets with open flows.
+    /// Its targets with open flows, the most important to tell first. A target that is
+    /// not listed has no flows, or few of them and no requests in flight.
     pub targets: Vec<TargetLoadReport>,
 }
 
 /// Load of one service through one balancer.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServiceLoadReport {
     /// The service.
     pub service: Arc<str>,
@@ -26,16 +35,16 @@
     pub in_flight: u32,
     /// Responses per second.
     pub answered_per_s: f64,
-    /// Demand by route priority.
+    /// Demand by route priority, the most urgent first.
     pub demand: Vec<PriorityDemand>,
 }
 
 /// Demand of one priority for a service through one balancer.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PriorityDemand {
     /// Priority of the routes; 0 is the most urgent.
     pub priority: u32,
-    /// First attempts of new flows per second, accepted or not.
+    /// First SYNs of new flows per second, accepted or not.
     pub flows_per_s: f64,
     /// Requests per second on open flows.
     pub requests_per_s: f64,
@@ -44,10 +53,10 @@
 }
 
 /// Load of one target through one balancer.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TargetLoadReport {
-    /// The target.
-    pub id: TargetId,
+    /// Cookie of the target; half as long as its identity.
+    pub cookie: Cookie,
     /// Open flows.
     pub flows: u32,
     /// Requests in flight.
--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -66,6 +66,10 @@
         self.attempts.record_response(&seg.flow);
         // Retransmitted requests are not sampled: the first copy may have been lost
         // (Karn's algorithm).
+        if flow.busy {
+            let rates = &mut self.own_load.rates;
+            rates.record_response(now, &target.entry.service);
+        }
         let timed = flow.busy && !flow.stalled;
         target.load.clear_request(flow);
         let route = self.routes.get(seg.flow.route).filter(|_| timed);
@@ -93,6 +97,12 @@
         };
         self.attempts.record_sent(now, seg.flow, flow.target);
         self.flows.record_request(now, seg.flow);
+        let route = self.routes.get(seg.flow.route);
+        // Further packets of a request find it unanswered.
+        if let Some(route) = route.filter(|_| !flow.busy) {
+            let rates = &mut self.own_load.rates;
+            rates.record_request(now, &target.entry.service, route.priority);
+        }
         target.load.mark_in_flight(flow);
         flow.seq = seg.seq;
         flow.sent_at = now;
--- a/crates/cookie/tests/common/mod.rs
+++ b/crates/cookie/tests/common/mod.rs
@@ -70,12 +70,16 @@
 impl Sim {
     /// A balancer without manifest and targets.
     pub fn empty() -> Sim {
+        Sim::empty_with_seed(7)
+    }
+
+    fn empty_with_seed(seed: u64) -> Sim {
         let cfg = Config {
             domain: Arc::from("a"),
             ..Config::default()
         };
         Sim {
-            balancer: Balancer::new(cfg, 7),
+            balancer: Balancer::new(cfg, seed),
             now: Duration::from_secs(100),
             revision: 10,
         }
@@ -84,7 +88,12 @@
     /// Targets 1 to `local` are in the balancer's failure domain `a`, the next
     /// `remote` ones in `b`.
     pub fn new(local: u64, remote: u64) -> Sim {
-        let mut sim = Sim::empty();
+        Sim::with_seed(local, remote, 7)
+    }
+
+    /// As [`Sim::new`], with random choices of its own.
+    pub fn with_seed(local: u64, remote: u64, seed: u64) -> Sim {
+        let mut sim = Sim::empty_with_seed(seed);
         let routes = vec![
             route(IDEMPOTENT, &[("app", 1)]),
             route(NON_IDEMPOTENT, &[("app", 1)]),
--- a/crates/daemon/src/cookie/metrics.rs
+++ b/crates/daemon/src/cookie/metrics.rs
@@ -76,6 +76,21 @@
         "Time since the store confirmed the targets",
         |s| s.targets_age(s.clock.now()).as_millis() as u64,
     );
+    gauge(
+        "load_peers_heard",
+        "Balancers of the failure domain whose load report counts",
+        |s| s.lock().domain_load().heard() as u64,
+    );
+    gauge(
+        "load_peers_expected",
+        "Other balancers of the failure domain that are known to run",
+        |s| s.lock().domain_load().expected() as u64,
+    );
+    gauge(
+        "load_age_milliseconds",
+        "Age of the oldest load report that counts",
+        |s| s.lock().domain_load().age(s.clock.now()).as_millis() as u64,
+    );
     gauge("ready", "1 if packets are asked for, 0 if not", |s| {
         u64::from(s.is_ready())
     });
--- a/crates/daemon/src/cookie/peers/reports.rs
+++ b/crates/daemon/src/cookie/peers/reports.rs
@@ -15,6 +15,7 @@
 
 use super::message::{open, seal};
 use super::server::SharedPeers;
+use super::{load, load_message};
 use crate::cookie::shared::Shared;
 use crate::counters::{Count, Counters};
 use crate::receive::is_transient;
@@ -92,7 +93,7 @@
     }
 }
 
-/// Receives reports and applies them until the balancer shuts down.
+/// Receives reports, also those of load, and applies them until the balancer shuts down.
 ///
 /// # Errors
 ///
@@ -110,6 +111,10 @@
             Err(e) if is_transient(&e) => continue,
             Err(e) => return Err(e),
         };
+        if buf[..length].first() == Some(&load_message::KIND) {
+            load::receive(shared, peers, &counters, &buf[..length]);
+            continue;
+        }
         counters.add(Count::ReportsReceived, 1);
         match open::<Report>(peers.key.as_ref(), CONTEXT, &buf[..length]) {
             Ok(report) => apply(shared, &report),
--- a/crates/daemon/src/cookie/peers/server.rs
+++ b/crates/daemon/src/cookie/peers/server.rs
@@ -1,5 +1,6 @@
 //! HTTP server for requests from peer balancers.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -51,7 +52,7 @@
     }
 
     /// Logs a message that can't be encoded or was rejected, rate limited.
-    pub(super) fn log_rejected(&self, shared: &Shared, error: &MessageError) {
+    pub(super) fn log_rejected(&self, shared: &Shared, error: &impl Display) {
         if let Some(skipped) = self.rejected_log_limit.admit(shared.clock.now()) {
             shared.log.emit(Event::PeerRejected {
                 error: error.to_string(),
--- a/crates/daemon/src/cookie/start.rs
+++ b/crates/daemon/src/cookie/start.rs
@@ -21,7 +21,7 @@
 use super::http;
 use super::metrics::Metrics;
 use super::packets::PacketLoop;
-use super::peers::{self, Poller, ReportSender, SharedPeers};
+use super::peers::{self, LoadSender, Poller, ReportSender, SharedPeers};
 use super::prober::Prober;
 use super::reload::Reloader;
 use super::shared::Shared;
@@ -154,6 +154,13 @@
         let receiver = self.start_thread("reports", move || {
             peers::receive(&shared, &peers, &receiving)
         })?;
+        let load_sender = LoadSender {
+            shared: Arc::clone(&self.shared),
+            peers: Arc::clone(shared_peers),
+            socket: Arc::clone(&socket),
+            own,
+            port,
+        };
         let sender = ReportSender {
             shared: Arc::clone(&self.shared),
             peers: Arc::clone(shared_peers),
@@ -166,6 +173,13 @@
             Ok(())
         })?;
         self.report_threads.extend([receiver, sender]);
+        if settings.cookie.load_exchange {
+            let sender = self.start_thread("load-sender", move || {
+                load_sender.run();
+                Ok(())
+            })?;
+            self.report_threads.push(sender);
+        }
         Ok(())
     }
 
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -54,6 +54,18 @@
     ReportsSent,
     /// Such datagrams received.
     ReportsReceived,
+    /// Load reports sent to other balancers.
+    LoadReportsSent,
+    /// Bytes of these, without the headers of their datagrams.
+    LoadReportBytesSent,
+    /// Load reports received.
+    LoadReportsReceived,
+    /// Those of an unknown version.
+    LoadReportsUnknown,
+    /// Those that were malformed or not authenticated.
+    LoadReportsRejected,
+    /// Those that were late, or of another failure domain.
+    LoadReportsIgnored,
     /// Snapshots taken from other balancers.
     SnapshotsTaken,
     /// Snapshots sent to other balancers.
