refactor(cookie): the encoding of load reports moves to the decisions, with tests

A turn among all peers now aims at 0.3 s, within which requests in flight change; targets that don't fit into the resulting size are left out.

--- a/crates/cookie/src/domain_load.rs
+++ b/crates/cookie/src/domain_load.rs
@@ -97,7 +97,7 @@
     targets: HashMap<Cookie, TargetSum>,
     /// Number of neighbors whose report counts.
     heard: usize,
-    /// Number of other balancers, as of `refreshed_at`.
+    /// Number of other balancers that run, as of `refreshed_at`.
     expected: usize,
     /// Address of this balancer.
     own: Option<SocketAddr>,
@@ -148,7 +148,7 @@
 
     /// Number of other balancers of the failure domain that are known to run.
     pub fn expected(&self) -> usize {
-        self.expected
+        self.expected.max(self.heard)
     }
 
     /// Age of the oldest report that counts; zero if there is none.
@@ -191,7 +191,6 @@
         if let Some(peer) = mentioned.filter(|peer| Some(*peer) != self.own) {
             self.record_mention(now, peer);
         }
-        self.count_expected(now);
         true
     }
 
@@ -247,8 +246,8 @@
     /// Factor on sums to include the balancers that were not heard.
     fn scale(&self, now: Duration) -> Option<f64> {
         let fresh = self.refreshed_at.is_some_and(|at| now < at + STALE_AFTER);
-        let enough = self.heard > 0 && 2 * self.heard >= self.expected;
-        (fresh && enough).then(|| self.expected as f64 / self.heard as f64)
+        let enough = self.heard > 0 && 2 * self.heard >= self.expected();
+        (fresh && enough).then(|| self.expected() as f64 / self.heard as f64)
     }
 
     fn count_expected(&mut self, now: Duration) {
--- a/crates/cookie/src/load_rotation.rs
+++ b/crates/cookie/src/load_rotation.rs
@@ -12,11 +12,14 @@
 pub struct LoadRotationConfig {
     /// Time between two reports to one peer while the bytes suffice.
     pub interval: Duration,
+    /// Time between them that larger reports may lead to: requests in flight change
+    /// within about this time.
+    pub max_turn: Duration,
     /// Bytes per second of all reports, headers included.
     pub bytes_per_s: f64,
     /// Bytes of the headers of a datagram: IPv4 and UDP.
     pub header_bytes: usize,
-    /// Smallest report for which a turn is prolonged, in bytes.
+    /// Size up to which reports may lead to longer turns, in bytes.
     pub min_report_bytes: usize,
     /// Largest report, in bytes; fits into one packet.
     pub max_report_bytes: usize,
@@ -26,6 +29,7 @@
     fn default() -> Self {
         Self {
             interval: Duration::from_millis(100),
+            max_turn: Duration::from_millis(300),
             // 1% of the smallest link of 10 Mbit/s; as much is received.
             bytes_per_s: 12_000.0,
             header_bytes: 28,
@@ -68,10 +72,10 @@
         self.cfg.interval.max(Duration::from_secs_f64(turn))
     }
 
-    /// Largest report to send to this number of peers, in bytes: a turn should take no
-    /// more than the second for which a report counts.
+    /// Largest report to send to this number of peers, in bytes.
     pub fn report_bytes(&self, peers: usize) -> usize {
-        let share = self.cfg.bytes_per_s / peers.max(1) as f64;
+        let bytes_per_turn = self.cfg.bytes_per_s * self.cfg.max_turn.as_secs_f64();
+        let share = bytes_per_turn / peers.max(1) as f64;
         let bytes = (share as usize).saturating_sub(self.cfg.header_bytes);
         bytes.clamp(self.cfg.min_report_bytes, self.cfg.max_report_bytes)
     }
--- a/crates/cookie/tests/domain_load.rs
+++ b/crates/cookie/tests/domain_load.rs
@@ -11,7 +11,9 @@
 use common::{IDEMPOTENT, Sim, data, ms};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sequoiatrail_cookie::{LoadReport, LoadRotation, LoadRotationConfig, NeighborLoad, TargetId};
+use sequoiatrail_cookie::{
+    LoadMessage, LoadReport, LoadRotation, LoadRotationConfig, NeighborLoad, TargetId,
+};
 
 /// Balancers per failure domain, of three, in fleets of 6, 23, 77 and 195.
 const DOMAINS: [usize; 4] = [2, 8, 26, 65];
@@ -19,9 +21,8 @@
 const SEEDS: usize = 3;
 const TARGETS: u64 = 20;
 const STEP: Duration = Duration::from_millis(100);
-/// Bytes of an encoded report besides its targets.
-const HEAD_BYTES: usize = 100;
-const TARGET_BYTES: usize = 6;
+/// Bytes of a datagram in front of the message: kind, version and tag.
+const HEAD_BYTES: usize = 18;
 
 fn address(number: usize) -> SocketAddr {
     ([10, 0, 0, number as u8], 7_000).into()
@@ -128,21 +129,26 @@
         }
         let mut report = balancer.load_report(self.now).unwrap();
         report.turn = member.rotation.turn(peers.len());
-        let room = member.rotation.report_bytes(peers.len()) - HEAD_BYTES;
-        report.targets.truncate(room / TARGET_BYTES);
-        let bytes = HEAD_BYTES + report.targets.len() * TARGET_BYTES;
+        let message = LoadMessage {
+            from: own,
+            domain: "a".into(),
+            report,
+        };
+        let encoded = message.encode(member.rotation.report_bytes(peers.len()) - HEAD_BYTES);
+        let bytes = HEAD_BYTES + encoded.len();
         let peers = member.rotation.next_peers(&peers, bytes);
         let cfg = LoadRotationConfig::default();
         member.bytes_sent += peers.len() * (bytes + cfg.header_bytes);
         for peer in peers {
             if !self.rng.random_bool(self.loss) {
-                self.deliver(own, peer, report.clone());
+                self.deliver(own, peer, &encoded);
             }
         }
     }
 
-    fn deliver(&mut self, from: SocketAddr, to: SocketAddr, report: LoadReport) {
+    fn deliver(&mut self, from: SocketAddr, to: SocketAddr, message: &[u8]) {
         let to = (0..self.members.len()).find(|n| address(*n) == to).unwrap();
+        let report = LoadMessage::decode(message).unwrap().report;
         if self.members[to].alive {
             let balancer = &mut self.members[to].sim.balancer;
             balancer.record_load_report(self.now, from, report);
--- a/crates/daemon/src/cookie/peers/load.rs
+++ b/crates/daemon/src/cookie/peers/load.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sequoiatrail_cookie::{LoadRotation, LoadRotationConfig};
+use sequoiatrail_cookie::{LoadMessage, LoadRotation, LoadRotationConfig};
 
-use super::load_message::{LoadMessage, LoadMessageError, decode, encode};
+use super::load_message::{OpenError, open, seal};
 use super::server::SharedPeers;
 use crate::cookie::shared::Shared;
 use crate::counters::{Count, Counters};
@@ -57,7 +57,7 @@
             report,
         };
         let max_bytes = rotation.report_bytes(peers.len());
-        let datagram = encode(self.peers.key.as_ref(), &message, max_bytes);
+        let datagram = seal(self.peers.key.as_ref(), &message, max_bytes);
         for peer in rotation.next_peers(&peers, datagram.len()) {
             self.send_to(counters, &datagram, peer);
         }
@@ -81,10 +81,10 @@
 /// Applies a datagram with a load report.
 pub(super) fn receive(shared: &Shared, peers: &SharedPeers, counters: &Counters, datagram: &[u8]) {
     counters.add(Count::LoadReportsReceived, 1);
-    match decode(peers.key.as_ref(), datagram) {
+    match open(peers.key.as_ref(), datagram) {
         Ok(message) => apply(shared, counters, message),
         // Another build; its log lines would go on until the fleet is updated.
-        Err(LoadMessageError::UnknownVersion { .. }) => {
+        Err(OpenError::UnknownVersion) => {
             counters.add(Count::LoadReportsUnknown, 1);
         }
         Err(e) => {
--- a/crates/daemon/src/cookie/peers/load_message.rs
+++ b/crates/daemon/src/cookie/peers/load_message.rs
@@ -1,296 +1,68 @@
-//! Encoding of load reports.
+//! Datagrams with load reports.
 //!
 //! A datagram is a kind and a version, one byte each, an authentication tag unless no
-//! shared key is configured, and the body. The body is binary, since a target takes 6
-//! bytes of it rather than 40 in JSON, and at that size all of a report fits into the
-//! share of a link that the exchange may use. Numbers are variable-length (LEB128).
+//! shared key is configured, and the encoded report.
 //!
 //! Reports of suspect targets arrive at the same socket. They begin with a hexadecimal
-//! digit or a line feed, never with [`KIND`], so builds that don't know load reports
-//! reject them as a wrong tag.
+//! digit or a line feed, never with [`KIND`]. Builds that don't know load reports take
+//! one for a report of suspect targets with a wrong tag and ignore it.
 
-use std::net::{IpAddr, SocketAddr};
-use std::sync::Arc;
-use std::time::Duration;
-
-use bytes::{Buf, BufMut, TryGetError};
-use sequoiatrail_cookie::{
-    Cookie, LoadReport, PriorityDemand, ServiceLoadReport, TargetLoadReport,
-};
+use sequoiatrail_cookie::{LoadMessage, LoadMessageError};
 use sequoiatrail_wire::{Key, TAG_BYTES};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
-/// First byte of a load report.
+/// First byte of a datagram with a load report.
 pub(super) const KIND: u8 = b'L';
 /// Version of the encoding.
 const VERSION: u8 = 1;
 /// Part of each authentication tag, so that no other message passes as a load report.
 const CONTEXT: &[u8] = b"load report";
-/// Rates are sent in tenths of an event per second.
-const RATE_UNITS: f64 = 10.0;
-/// Longest name of a service or failure domain, in bytes.
-const MAX_NAME_BYTES: usize = 64;
-/// Largest encoded target, in bytes: its cookie and two numbers of 32 bits.
-const MAX_TARGET_BYTES: usize = 4 + 2 * 5;
 
-/// Result of encoding or decoding a load report.
-pub(super) type Result<T, E = LoadMessageError> = std::result::Result<T, E>;
+/// Result of opening a datagram.
+pub(super) type Result<T, E = OpenError> = std::result::Result<T, E>;
 
-/// Why a load report can't be encoded or is rejected.
+/// Why a datagram is rejected.
 #[derive(Debug, Snafu)]
-pub(super) enum LoadMessageError {
-    /// Its version is not known here; the sender runs another build.
-    #[snafu(display("unknown version {version} of load reports"))]
-    UnknownVersion { version: u8 },
-    /// The sender uses a different key, or the message was modified in transit.
+pub(super) enum OpenError {
+    /// The sender runs another build.
+    #[snafu(display("unknown version of load reports"))]
+    UnknownVersion,
+    /// The datagram ends before the report.
+    #[snafu(display("truncated datagram with a load report"))]
+    Truncated,
+    /// The sender uses a different key, or the datagram was modified in transit.
     #[snafu(display("authentication tag mismatch"))]
     TagMismatch,
-    /// The message ends too early.
-    #[snafu(display("truncated load report"))]
-    Truncated { source: TryGetError },
-    /// A field has an invalid value.
-    #[snafu(display("invalid {field}"))]
-    Invalid { field: &'static str },
-}
-
-/// A load report with its sender.
-#[derive(Clone, Debug, PartialEq)]
-pub(super) struct LoadMessage {
-    /// Address of the sender's peer API.
-    pub from: SocketAddr,
-    /// Its failure domain.
-    pub domain: Arc<str>,
-    /// Its load.
-    pub report: LoadReport,
+    /// The report can't be decoded.
+    #[snafu(display("{source}"))]
+    Malformed { source: LoadMessageError },
 }
 
-/// Encodes a message of at most `max_bytes`. Targets at the end that don't fit are left
-/// out.
-pub(super) fn encode(key: Option<&Key>, message: &LoadMessage, max_bytes: usize) -> Vec<u8> {
+/// Encodes a datagram of at most `max_bytes`.
+pub(super) fn seal(key: Option<&Key>, message: &LoadMessage, max_bytes: usize) -> Vec<u8> {
     let tag_bytes = key.map_or(0, |_| TAG_BYTES);
-    let head = 2 + tag_bytes;
-    let mut buf = Vec::with_capacity(max_bytes);
-    buf.extend([KIND, VERSION]);
-    buf.resize(head, 0);
-    put_address(&mut buf, message.from);
-    put_name(&mut buf, &message.domain);
-    put_report(&mut buf, &message.report, max_bytes);
+    let body = message.encode(max_bytes - 2 - tag_bytes);
+    let mut datagram = vec![KIND, VERSION];
     if let Some(key) = key {
-        let tag = key.tag(&[CONTEXT, &[VERSION], &buf[head..]]);
-        buf[2..head].copy_from_slice(&tag);
+        datagram.extend(key.tag(&[CONTEXT, &[VERSION], &body]));
     }
-    buf
+    datagram.extend(body);
+    datagram
 }
 
-/// Verifies and decodes a message.
+/// Verifies and decodes a datagram.
 ///
 /// # Errors
 ///
-/// The version is unknown, the tag does not match, or the body is malformed.
-pub(super) fn decode(key: Option<&Key>, datagram: &[u8]) -> Result<LoadMessage> {
-    let mut buf = datagram;
-    let kind = buf.try_get_u8().context(TruncatedSnafu)?;
-    ensure!(kind == KIND, InvalidSnafu { field: "kind" });
-    let version = buf.try_get_u8().context(TruncatedSnafu)?;
-    ensure!(version == VERSION, UnknownVersionSnafu { version });
+/// The version is unknown, the tag does not match, or the report is malformed.
+pub(super) fn open(key: Option<&Key>, datagram: &[u8]) -> Result<LoadMessage> {
+    let (head, mut body) = datagram.split_at_checked(2).context(TruncatedSnafu)?;
+    ensure!(head[1] == VERSION, UnknownVersionSnafu);
     if let Some(key) = key {
-        let mut tag = [0; TAG_BYTES];
-        buf.try_copy_to_slice(&mut tag).context(TruncatedSnafu)?;
-        ensure!(
-            key.verify(&[CONTEXT, &[version], buf], &tag),
-            TagMismatchSnafu
-        );
-    }
-    Ok(LoadMessage {
-        from: get_address(&mut buf)?,
-        domain: get_name(&mut buf)?,
-        report: get_report(&mut buf)?,
-    })
-}
-
-fn put_report(buf: &mut Vec<u8>, report: &LoadReport, max_bytes: usize) {
-    buf.put_u32(report.process);
-    put_number(buf, report.number);
-    put_number(buf, report.turn.as_millis() as u64);
-    buf.put_u8(u8::from(report.heard.is_some()));
-    if let Some(heard) = report.heard {
-        put_address(buf, heard);
+        let (tag, rest) = body.split_at_checked(TAG_BYTES).context(TruncatedSnafu)?;
+        let authentic = key.verify(&[CONTEXT, &[VERSION], rest], tag);
+        ensure!(authentic, TagMismatchSnafu);
+        body = rest;
     }
-    put_services(buf, &report.services, max_bytes);
-    for target in &report.targets {
-        if buf.len() + MAX_TARGET_BYTES > max_bytes {
-            break;
-        }
-        buf.put_u32(target.cookie.0);
-        put_number(buf, target.flows.into());
-        put_number(buf, target.in_flight.into());
-    }
-}
-
-fn get_report(buf: &mut &[u8]) -> Result<LoadReport> {
-    let process = buf.try_get_u32().context(TruncatedSnafu)?;
-    let number = get_number(buf)?;
-    let turn = Duration::from_millis(get_u32(buf)?.into());
-    let heard = match buf.try_get_u8().context(TruncatedSnafu)? {
-        0 => None,
-        _ => Some(get_address(buf)?),
-    };
-    let count = buf.try_get_u8().context(TruncatedSnafu)?;
-    let services = (0..count).map(|_| get_service(buf));
-    let services = services.collect::<Result<Vec<_>>>()?;
-    let mut targets = Vec::new();
-    while buf.has_remaining() {
-        targets.push(TargetLoadReport {
-            cookie: Cookie(buf.try_get_u32().context(TruncatedSnafu)?),
-            flows: get_u32(buf)?,
-            in_flight: get_u32(buf)?,
-        });
-    }
-    Ok(LoadReport {
-        process,
-        number,
-        turn,
-        heard,
-        services,
-        targets,
-    })
-}
-
-/// Writes the services in at most half of the message; the rest is left out.
-fn put_services(buf: &mut Vec<u8>, services: &[ServiceLoadReport], max_bytes: usize) {
-    let count_at = buf.len();
-    buf.put_u8(0);
-    let mut count = 0;
-    for service in services.iter().take(u8::MAX.into()) {
-        let start = buf.len();
-        put_service(buf, service);
-        if buf.len() > count_at + max_bytes / 2 {
-            buf.truncate(start);
-            break;
-        }
-        count += 1;
-    }
-    buf[count_at] = count;
-}
-
-fn put_service(buf: &mut Vec<u8>, service: &ServiceLoadReport) {
-    put_name(buf, &service.service);
-    put_number(buf, service.in_flight.into());
-    put_rate(buf, service.answered_per_s);
-    let demand = &service.demand[..service.demand.len().min(u8::MAX.into())];
-    buf.put_u8(demand.len() as u8);
-    for demand in demand {
-        put_number(buf, demand.priority.into());
-        put_rate(buf, demand.flows_per_s);
-        put_rate(buf, demand.requests_per_s);
-        put_rate(buf, demand.refused_per_s);
-    }
-}
-
-fn get_service(buf: &mut &[u8]) -> Result<ServiceLoadReport> {
-    let service = get_name(buf)?;
-    let in_flight = get_u32(buf)?;
-    let answered_per_s = get_rate(buf)?;
-    let count = buf.try_get_u8().context(TruncatedSnafu)?;
-    let demand = (0..count).map(|_| get_demand(buf));
-    Ok(ServiceLoadReport {
-        service,
-        in_flight,
-        answered_per_s,
-        demand: demand.collect::<Result<Vec<_>>>()?,
-    })
-}
-
-fn get_demand(buf: &mut &[u8]) -> Result<PriorityDemand> {
-    Ok(PriorityDemand {
-        priority: get_u32(buf)?,
-        flows_per_s: get_rate(buf)?,
-        requests_per_s: get_rate(buf)?,
-        refused_per_s: get_rate(buf)?,
-    })
-}
-
-fn put_address(buf: &mut Vec<u8>, address: SocketAddr) {
-    match address.ip() {
-        IpAddr::V4(ip) => {
-            buf.put_u8(4);
-            buf.put_slice(&ip.octets());
-        }
-        IpAddr::V6(ip) => {
-            buf.put_u8(6);
-            buf.put_slice(&ip.octets());
-        }
-    }
-    buf.put_u16(address.port());
-}
-
-fn get_address(buf: &mut &[u8]) -> Result<SocketAddr> {
-    let ip: IpAddr = match buf.try_get_u8().context(TruncatedSnafu)? {
-        4 => buf
-            .try_get_u32()
-            .context(TruncatedSnafu)?
-            .to_be_bytes()
-            .into(),
-        6 => buf
-            .try_get_u128()
-            .context(TruncatedSnafu)?
-            .to_be_bytes()
-            .into(),
-        _ => return InvalidSnafu { field: "address" }.fail(),
-    };
-    let port = buf.try_get_u16().context(TruncatedSnafu)?;
-    Ok(SocketAddr::new(ip, port))
-}
-
-/// Writes a name; one that is too long is cut.
-fn put_name(buf: &mut Vec<u8>, name: &str) {
-    let name = &name[..name.floor_char_boundary(MAX_NAME_BYTES)];
-    buf.put_u8(name.len() as u8);
-    buf.put_slice(name.as_bytes());
-}
-
-fn get_name(buf: &mut &[u8]) -> Result<Arc<str>> {
-    let length = usize::from(buf.try_get_u8().context(TruncatedSnafu)?);
-    let bytes = buf.get(..length).context(InvalidSnafu { field: "name" })?;
-    let name = std::str::from_utf8(bytes).ok();
-    let name = name.context(InvalidSnafu { field: "name" })?;
-    buf.advance(length);
-    Ok(Arc::from(name))
-}
-
-fn put_rate(buf: &mut Vec<u8>, per_s: f64) {
-    // The cast saturates, and turns a value that is no number into 0.
-    put_number(buf, u64::from((per_s * RATE_UNITS).round() as u32));
-}
-
-fn get_rate(buf: &mut &[u8]) -> Result<f64> {
-    let units = f64::from(get_u32(buf)?);
-    Ok(units / RATE_UNITS)
-}
-
-fn put_number(buf: &mut Vec<u8>, number: u64) {
-    let mut rest = number;
-    while rest >= 0x80 {
-        buf.put_u8(rest as u8 | 0x80);
-        rest >>= 7;
-    }
-    buf.put_u8(rest as u8);
-}
-
-fn get_number(buf: &mut &[u8]) -> Result<u64> {
-    let mut number = 0;
-    for shift in (0..u64::BITS).step_by(7) {
-        let byte = buf.try_get_u8().context(TruncatedSnafu)?;
-        number |= u64::from(byte & 0x7f) << shift;
-        if byte & 0x80 == 0 {
-            return Ok(number);
-        }
-    }
-    InvalidSnafu { field: "number" }.fail()
-}
-
-fn get_u32(buf: &mut &[u8]) -> Result<u32> {
-    let number = get_number(buf)?;
-    let number = u32::try_from(number).ok();
-    number.context(InvalidSnafu { field: "number" })
+    LoadMessage::decode(body).context(MalformedSnafu)
 }
