fix(cookie): a stopped balancer that others still mention is not unheard

Cause: a balancer known from mentions only was forgotten 3 s after its last report and then counted as unheard until the mentions ended, up to 2 s later. A balancer that takes no part in the exchange kept the reports it got.

Change: it is remembered while others mention it; without the exchange nothing is recorded. The test of a dead balancer now takes one that is no seed; it fails without the change (7 expected instead of 6).

--- a/crates/cookie/src/domain_load.rs
+++ b/crates/cookie/src/domain_load.rs
@@ -159,10 +159,11 @@
     }
 
     /// Records a report; returns whether it counts. Older ones than the last, which the
-    /// network may deliver late, don't.
+    /// network may deliver late, don't, and none does before the first
+    /// [`DomainLoad::refresh`]: this balancer takes no part in the exchange.
     pub(crate) fn record(&mut self, now: Duration, from: SocketAddr, report: LoadReport) -> bool {
         let known = self.neighbors.get(&from);
-        if known.is_some_and(|n| !n.is_newer(&report)) {
+        if self.refreshed_at.is_none() || known.is_some_and(|n| !n.is_newer(&report)) {
             return false;
         }
         if known.is_none() && self.neighbors.len() >= MAX_NEIGHBORS {
@@ -225,11 +226,11 @@
         for report in &old {
             self.subtract(report);
         }
-        // Those that have stopped are remembered while they are known, since they would
+        // Those that have stopped are remembered while others name them, since they would
         // count as unheard otherwise.
-        let known = &self.known;
-        self.neighbors
-            .retain(|address, n| !n.is_gone(now) || known.contains(address));
+        let (known, mentioned) = (&self.known, &self.mentioned);
+        let named = |a: &SocketAddr| known.contains(a) || mentioned.contains_key(a);
+        self.neighbors.retain(|a, n| !n.is_gone(now) || named(a));
     }
 
     /// All balancers that may run, also those that were never heard.
--- a/crates/cookie/tests/domain_load.rs
+++ b/crates/cookie/tests/domain_load.rs
@@ -241,11 +241,13 @@
     for size in [8, 26, 65] {
         let mut domain = Domain::of_size(size);
         domain.run(ms(5_000));
-        domain.members[1].alive = false;
+        // Not a seed, so that it is known from reports only.
+        domain.members[size - 1].alive = false;
         domain.run(ms(1_500));
         let expected = |d: &Domain| d.members[0].sim.balancer.domain_load().expected();
         assert_eq!(expected(&domain), size - 1);
-        domain.run(ms(3_500));
+        // From when it has stopped, also while others still mention it.
+        domain.run(ms(1_700));
         assert_eq!(expected(&domain), size - 2);
         let error = domain.worst_error();
         assert!(error < 0.1, "{size}: {error}");
@@ -275,10 +277,21 @@
     let sender = &mut domain.members[1].sim.balancer;
     let (first, second) = (sender.load_report(now), sender.load_report(now));
     let balancer = &mut domain.members[0].sim.balancer;
+    balancer.refresh_domain_load(now, address(0), vec![from]);
     assert!(balancer.record_load_report(now, from, second.unwrap()));
     assert!(!balancer.record_load_report(now, from, first.unwrap()));
 }
 
+#[test]
+fn a_balancer_that_takes_no_part_keeps_no_reports() {
+    let mut domain = Domain::new(&[3, 4]);
+    let now = domain.now;
+    let report = domain.members[1].sim.balancer.load_report(now).unwrap();
+    let balancer = &mut domain.members[0].sim.balancer;
+    assert!(!balancer.record_load_report(now, address(1), report));
+    assert_eq!(balancer.domain_load().heard(), 0);
+}
+
 #[test]
 fn two_balancers_of_very_unlike_load_know_of_each_other() {
     let mut domain = Domain::new(&[1, 60]);
