fix(cookie): keep open flows while silence is no evidence

Change: while other targets answer requests only after retransmissions, or most requests get no answer, a target that looks silent gets no new flows and keeps those it has.

--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -11,6 +11,7 @@
 use crate::attempts::RecentAttempts;
 use crate::directory::TargetChange;
 use crate::effects::Pending;
+use crate::evidence::Evidence;
 use crate::overload::Overload;
 use crate::reports::Reports;
 use crate::routes::ManifestOutcome;
@@ -35,6 +36,7 @@
     pub(crate) unknown: UnknownCookies,
     pub(crate) overload: Overload,
     pub(crate) reports: Reports,
+    pub(crate) evidence: Evidence,
     pub(crate) domain_load: DomainLoad,
     pub(crate) pending: Pending,
     pub(crate) service_hasher: FixedState,
@@ -57,6 +59,7 @@
             unknown: UnknownCookies::default(),
             overload: Overload::default(),
             reports: Reports::default(),
+            evidence: Evidence::default(),
             domain_load: DomainLoad::default(),
             pending: Pending::default(),
             service_hasher: FixedState::with_seed(SPLIT_SEED),
@@ -95,7 +98,7 @@
             .iter()
             .filter(|t| t.accepts_new_flows())
             .peekable();
-        usable.peek().is_some() && usable.all(|t| t.health.is_silent())
+        usable.peek().is_some() && usable.all(|t| t.health.failed_last_probe())
     }
 
     /// Failure domain of this VM.
--- a/crates/cookie/src/config.rs
+++ b/crates/cookie/src/config.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::{HealthConfig, OverloadConfig, PlacementConfig};
+use crate::{EvidenceConfig, HealthConfig, OverloadConfig, PlacementConfig};
 
 /// Settings of a [`crate::Balancer`].
 #[derive(Clone, Debug)]
@@ -26,6 +26,8 @@
     pub placement: PlacementConfig,
     /// Detection of silent targets.
     pub health: HealthConfig,
+    /// Weighing of silence while packets are lost.
+    pub evidence: EvidenceConfig,
 }
 
 impl Default for Config {
@@ -39,6 +41,7 @@
             overload: OverloadConfig::default(),
             placement: PlacementConfig::default(),
             health: HealthConfig::default(),
+            evidence: EvidenceConfig::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/cookie/src/evidence.rs
@@ -0,0 +1,134 @@
+//! Weight of silence as evidence against a target.
+//!
+//! The load pattern covered is an overload in which packets are lost or wait for long
+//! on the way to targets that live: bursts of many times the usual load through links
+//! of a few Mbit/s. Retransmissions and failed probes are then as frequent towards
+//! targets that serve as towards dead ones.
+//!
+//! What tells them apart is how the other targets answer meanwhile. A dead target
+//! answers nothing, while the others answer most requests, and at the first attempt. If
+//! many requests to any targets are answered only after a retransmission, or most not at
+//! all, the path is in trouble, and silence says little about a single target: open
+//! flows are then kept, and only new ones avoid it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Length of the spans in which requests are counted.
+const SPAN: Duration = Duration::from_millis(250);
+/// Number of spans that count; together longer than clients take for the first three
+/// retransmissions (1.4 s).
+const MAX_SPANS: usize = 8;
+/// Number of spans that show a trouble that has just begun.
+const RECENT_SPANS: usize = 3;
+
+/// Settings of the weighing of evidence.
+#[derive(Clone, Copy, Debug)]
+pub struct EvidenceConfig {
+    /// Fraction of the answered requests that were answered only after a retransmission,
+    /// from which silence is inconclusive. With this loss, two packets in a row get lost
+    /// for one of a hundred targets.
+    pub max_recovered: f64,
+    /// Minimum number of such requests; a few of them are ordinary loss.
+    pub min_recovered: u32,
+    /// Fraction of the requests that must be answered: more than the targets outside of
+    /// the largest outage to be found at once.
+    pub min_answered: f64,
+    /// Minimum number of requests for that fraction to count.
+    pub min_sent: u32,
+}
+
+impl Default for EvidenceConfig {
+    fn default() -> Self {
+        Self {
+            max_recovered: 0.1,
+            min_recovered: 3,
+            min_answered: 0.5,
+            min_sent: 8,
+        }
+    }
+}
+
+/// Requests in one span, to all targets.
+#[derive(Clone, Copy, Debug, Default)]
+struct Requests {
+    /// Opening packets and requests sent for the first time.
+    sent: u32,
+    /// Answered ones, whenever they were sent.
+    answered: u32,
+    /// Those answered only after a retransmission.
+    recovered: u32,
+}
+
+impl Requests {
+    fn is_lossy(&self, cfg: &EvidenceConfig) -> bool {
+        let max = f64::from(self.answered) * cfg.max_recovered;
+        self.recovered >= cfg.min_recovered && f64::from(self.recovered) > max
+    }
+
+    fn is_unanswered(&self, cfg: &EvidenceConfig) -> bool {
+        let min = f64::from(self.sent) * cfg.min_answered;
+        self.sent >= cfg.min_sent && f64::from(self.answered) < min
+    }
+}
+
+/// Requests to all targets through this balancer in the last [`MAX_SPANS`].
+#[derive(Debug, Default)]
+pub(crate) struct Evidence {
+    /// Number of the newest span since the clock's start.
+    newest: u128,
+    /// Newest first.
+    spans: VecDeque<Requests>,
+}
+
+impl Evidence {
+    /// Records that an opening packet or a request was sent for the first time.
+    pub fn record_sent(&mut self, now: Duration) {
+        self.current(now).sent += 1;
+    }
+
+    /// Records that a target answered; `recovered` if the request was retransmitted
+    /// before.
+    pub fn record_answer(&mut self, now: Duration, recovered: bool) {
+        let current = self.current(now);
+        current.answered += 1;
+        current.recovered += u32::from(recovered);
+    }
+
+    /// Whether a target that does not answer counts as silent, so that its open flows
+    /// may be reset.
+    pub fn is_conclusive(&mut self, now: Duration, cfg: &EvidenceConfig) -> bool {
+        self.current(now);
+        let lossy = self.spans.iter().any(|span| span.is_lossy(cfg));
+        let unanswered = |spans| self.sum(spans).is_unanswered(cfg);
+        !lossy && !unanswered(RECENT_SPANS) && !unanswered(MAX_SPANS)
+    }
+
+    /// Discards what was counted.
+    pub fn reset(&mut self) {
+        self.spans.clear();
+    }
+
+    fn sum(&self, spans: usize) -> Requests {
+        let spans = self.spans.iter().take(spans);
+        spans.fold(Requests::default(), |sum, span| Requests {
+            sent: sum.sent + span.sent,
+            answered: sum.answered + span.answered,
+            recovered: sum.recovered + span.recovered,
+        })
+    }
+
+    fn current(&mut self, now: Duration) -> &mut Requests {
+        let number = now.as_millis() / SPAN.as_millis();
+        let elapsed = number.saturating_sub(self.newest);
+        self.newest = self.newest.max(number);
+        for _ in 0..elapsed.min(MAX_SPANS as u128) {
+            self.spans.push_front(Requests::default());
+        }
+        self.spans.truncate(MAX_SPANS);
+        if self.spans.is_empty() {
+            self.spans.push_front(Requests::default());
+        }
+        &mut self.spans[0]
+    }
+}
--- a/crates/cookie/src/health.rs
+++ b/crates/cookie/src/health.rs
@@ -63,10 +63,25 @@
     Responsive,
     /// A probe was requested.
     Suspect,
+    /// A probe failed while packets to other targets were lost too, and there was no
+    /// response since it was requested. It is probed again; meanwhile it gets no new
+    /// flows and keeps those it has.
+    Unconfirmed,
     /// A probe failed and there was no response since it was requested.
     Silent,
 }
 
+/// Outcome of a probe as evidence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeOutcome {
+    /// The target answered.
+    Answered,
+    /// It did not, and nothing else explains that.
+    Failed,
+    /// It did not, but packets to targets that live are lost too.
+    Inconclusive,
+}
+
 /// Health of one target as inferred from packets and probes.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
@@ -146,9 +161,9 @@
         true
     }
 
-    /// Whether the target is silent or in a backoff.
+    /// Whether the target failed its last probe or is in a backoff.
     pub fn is_suspect(&self, now: Duration) -> bool {
-        self.liveness == Liveness::Silent || now < self.backoff_until
+        self.failed_last_probe() || now < self.backoff_until
     }
 
     /// Avoids the target until `until`, or until it answers.
@@ -164,7 +179,7 @@
             .saturating_mul(1 << self.failed_probes.min(8));
         let interval = interval.min(cfg.max_probe_interval);
         let recent = self.last_probe.is_some_and(|at| now < at + interval);
-        let wanted = self.liveness == Liveness::Silent || self.has_evidence(now, cfg);
+        let wanted = self.failed_last_probe() || self.has_evidence(now, cfg);
         if recent || !wanted {
             return false;
         }
@@ -196,13 +211,13 @@
 
     /// Records the result of a probe requested at `requested_at`. Returns whether
     /// the target has become silent.
-    pub fn record_probe(&mut self, requested_at: Duration, answered: bool) -> bool {
+    pub fn record_probe(&mut self, requested_at: Duration, outcome: ProbeOutcome) -> bool {
         if self.last_result.is_some_and(|at| requested_at < at) {
             return false;
         }
         self.last_result = Some(requested_at);
         let before = self.liveness;
-        if answered {
+        if outcome == ProbeOutcome::Answered {
             self.failed_probes = 0;
             self.liveness = Liveness::Responsive;
             self.oldest_syn = None;
@@ -211,6 +226,12 @@
         if self.last_response >= requested_at {
             return false;
         }
+        if outcome == ProbeOutcome::Inconclusive {
+            if before != Liveness::Silent {
+                self.liveness = Liveness::Unconfirmed;
+            }
+            return false;
+        }
         self.failed_probes = self.failed_probes.saturating_add(1);
         self.liveness = Liveness::Silent;
         before != Liveness::Silent
@@ -235,6 +256,12 @@
         self.suspicion_count
     }
 
+    /// Whether the last probe failed, conclusive or not, without a response since. The
+    /// target is then probed until it answers, with or without traffic.
+    pub fn failed_last_probe(&self) -> bool {
+        matches!(self.liveness, Liveness::Unconfirmed | Liveness::Silent)
+    }
+
     fn has_evidence(&self, now: Duration, cfg: &HealthConfig) -> bool {
         let late = self.oldest_syn.is_some_and(|s| now > s + cfg.syn_timeout);
         let retransmitted = self
--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -44,7 +44,9 @@
             target.load.mark_busy(&mut flow);
         }
         probe_if_suspect(&self.cfg, &mut self.pending, now, target);
-        let timed_out = retransmitted && target.health.silence_timed_out(now, &self.cfg.health);
+        let timed_out = retransmitted
+            && target.health.silence_timed_out(now, &self.cfg.health)
+            && self.evidence.is_conclusive(now, &self.cfg.evidence);
         let silent = target.health.is_silent() || timed_out;
         flow.open = true;
         flow.acked = seg.ack;
@@ -67,6 +69,9 @@
         // Retransmitted requests are not sampled: the first copy may have been lost
         // (Karn's algorithm).
         let timed = flow.busy && !flow.stalled;
+        if flow.busy || !flow.open {
+            self.evidence.record_answer(now, flow.stalled);
+        }
         target.load.clear_request(flow);
         let route = self.routes.get(seg.flow.route).filter(|_| timed);
         if let Some(sample) = route.and_then(|r| ResponseSample::new(r, now, flow.sent_at)) {
@@ -91,6 +96,7 @@
         let Some(target) = self.directory.get_mut(flow.target) else {
             return;
         };
+        self.evidence.record_sent(now);
         self.attempts.record_sent(now, seg.flow, flow.target);
         self.flows.record_request(now, seg.flow);
         target.load.mark_in_flight(flow);
@@ -145,6 +151,7 @@
             return;
         };
         target.health.record_syn(now);
+        self.evidence.record_sent(now);
         self.attempts.record_sent(now, seg.flow, key);
         if self.flows.len() >= self.cfg.max_flows {
             return;
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -5,6 +5,7 @@
 
 use crate::decision::ResetReason;
 use crate::effects::Pending;
+use crate::health::ProbeOutcome;
 use crate::presence::Target;
 use crate::{Balancer, Config, FlowReset, ProbeRequest, TargetEvent, TargetId, TargetKey};
 
@@ -22,7 +23,13 @@
         let Some(target) = self.directory.get_mut(key) else {
             return false;
         };
-        if !target.health.record_probe(probe.requested_at, answered) {
+        let conclusive = answered || self.evidence.is_conclusive(now, &self.cfg.evidence);
+        let outcome = match (answered, conclusive) {
+            (true, _) => ProbeOutcome::Answered,
+            (false, true) => ProbeOutcome::Failed,
+            (false, false) => ProbeOutcome::Inconclusive,
+        };
+        if !target.health.record_probe(probe.requested_at, outcome) {
             return false;
         }
         let domain = Arc::clone(&target.entry.domain);
@@ -53,6 +60,7 @@
     pub fn handle_pause(&mut self, now: Duration) {
         self.drop_syns_until = now + PAUSE_BACKLOG;
         self.overload.reset();
+        self.evidence.reset();
         for target in self.directory.iter_mut() {
             target.health.discard_evidence(now);
         }
