fix(cookie): tell a refused probe from one that timed out

Change: a refusal counts if a second one follows without an answer in between, at least one probe interval later; a probe that was not sent says nothing. The tests pass the outcome instead of a bool, with the same expectations.

--- a/crates/cookie/src/evidence.rs
+++ b/crates/cookie/src/evidence.rs
@@ -49,6 +49,33 @@
     }
 }
 
+/// Outcome of a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeOutcome {
+    /// The target accepted the connection.
+    Answered,
+    /// Nothing came back in time.
+    TimedOut,
+    /// The target's host refused the connection: no process listens there, or it is at
+    /// its limit of connections.
+    Refused,
+    /// This VM could not send it, for want of a descriptor, a port or a network.
+    NotSent,
+}
+
+/// What a probe says about its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// It lives.
+    Answers,
+    /// It is silent.
+    Silent,
+    /// It is silent unless it answers a request before a second such probe.
+    SilentIfRepeated,
+    /// It may be silent, but the same befalls packets to targets that live.
+    Doubtful,
+}
+
 /// Requests in one span, to all targets.
 #[derive(Clone, Copy, Debug, Default)]
 struct Requests {
@@ -104,6 +131,26 @@
         !lossy && !unanswered(RECENT_SPANS) && !unanswered(MAX_SPANS)
     }
 
+    /// What the outcome of a probe says about its target; `None` if nothing.
+    pub fn judge(
+        &mut self,
+        now: Duration,
+        outcome: ProbeOutcome,
+        cfg: &EvidenceConfig,
+    ) -> Option<Verdict> {
+        match outcome {
+            ProbeOutcome::NotSent => None,
+            ProbeOutcome::Answered => Some(Verdict::Answers),
+            ProbeOutcome::TimedOut | ProbeOutcome::Refused if !self.is_conclusive(now, cfg) => {
+                Some(Verdict::Doubtful)
+            }
+            ProbeOutcome::TimedOut => Some(Verdict::Silent),
+            // It comes back at once, before a target that is only full could answer one
+            // of its flows.
+            ProbeOutcome::Refused => Some(Verdict::SilentIfRepeated),
+        }
+    }
+
     /// Discards what was counted.
     pub fn reset(&mut self) {
         self.spans.clear();
--- a/crates/cookie/src/health.rs
+++ b/crates/cookie/src/health.rs
@@ -12,6 +12,8 @@
 
 use std::time::Duration;
 
+use crate::evidence::Verdict;
+
 /// Settings of [`Health`].
 #[derive(Clone, Copy, Debug)]
 pub struct HealthConfig {
@@ -57,31 +59,20 @@
 }
 
 /// Liveness of a target as inferred from packets and probes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 enum Liveness {
     #[default]
     Responsive,
     /// A probe was requested.
     Suspect,
-    /// A probe failed while packets to other targets were lost too, and there was no
-    /// response since it was requested. It is probed again; meanwhile it gets no new
-    /// flows and keeps those it has.
+    /// A probe failed and there was no response since it was requested, but that has
+    /// other explanations. It is probed again; meanwhile it gets no new flows and keeps
+    /// those it has.
     Unconfirmed,
     /// A probe failed and there was no response since it was requested.
     Silent,
 }
 
-/// Outcome of a probe as evidence.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ProbeOutcome {
-    /// The target answered.
-    Answered,
-    /// It did not, and nothing else explains that.
-    Failed,
-    /// It did not, but packets to targets that live are lost too.
-    Inconclusive,
-}
-
 /// Health of one target as inferred from packets and probes.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
@@ -211,13 +202,13 @@
 
     /// Records the result of a probe requested at `requested_at`. Returns whether
     /// the target has become silent.
-    pub fn record_probe(&mut self, requested_at: Duration, outcome: ProbeOutcome) -> bool {
+    pub(crate) fn record_probe(&mut self, requested_at: Duration, verdict: Verdict) -> bool {
         if self.last_result.is_some_and(|at| requested_at < at) {
             return false;
         }
         self.last_result = Some(requested_at);
         let before = self.liveness;
-        if outcome == ProbeOutcome::Answered {
+        if verdict == Verdict::Answers {
             self.failed_probes = 0;
             self.liveness = Liveness::Responsive;
             self.oldest_syn = None;
@@ -226,10 +217,12 @@
         if self.last_response >= requested_at {
             return false;
         }
-        if outcome == ProbeOutcome::Inconclusive {
-            if before != Liveness::Silent {
-                self.liveness = Liveness::Unconfirmed;
-            }
+        let confirmed = match verdict {
+            Verdict::SilentIfRepeated => self.failed_last_probe(),
+            verdict => verdict == Verdict::Silent,
+        };
+        if !confirmed {
+            self.liveness = before.max(Liveness::Unconfirmed);
             return false;
         }
         self.failed_probes = self.failed_probes.saturating_add(1);
@@ -237,6 +230,13 @@
         before != Liveness::Silent
     }
 
+    /// Cancels a probe that was not made, so that another one can be requested.
+    pub(crate) fn cancel_probe(&mut self) {
+        if self.liveness == Liveness::Suspect {
+            self.liveness = Liveness::Responsive;
+        }
+    }
+
     /// Whether the target failed its probes, so that its flows should be reset.
     pub fn is_silent(&self) -> bool {
         self.liveness == Liveness::Silent
--- a/crates/cookie/src/lib.rs
+++ b/crates/cookie/src/lib.rs
@@ -45,7 +45,7 @@
 pub use domain_load::{DomainLoad, NeighborLoad, ServiceTotals};
 pub use effects::{Effects, FlowReset, ProbeRequest, Suspicion};
 pub use era::{EraOrder, EraTracker};
-pub use evidence::EvidenceConfig;
+pub use evidence::{EvidenceConfig, ProbeOutcome};
 pub use flows::FlowTable;
 pub use health::{Health, HealthConfig};
 pub use load::Load;
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -5,9 +5,10 @@
 
 use crate::decision::ResetReason;
 use crate::effects::Pending;
-use crate::health::ProbeOutcome;
 use crate::presence::Target;
-use crate::{Balancer, Config, FlowReset, ProbeRequest, TargetEvent, TargetId, TargetKey};
+use crate::{
+    Balancer, Config, FlowReset, ProbeOutcome, ProbeRequest, TargetEvent, TargetId, TargetKey,
+};
 
 /// Number of silent targets in a failure domain from which all its targets are probed.
 const SILENT_TARGETS_THRESHOLD: usize = 2;
@@ -16,20 +17,23 @@
 
 impl Balancer {
     /// Records the result of a probe. Returns whether the target has become silent.
-    pub fn record_probe(&mut self, now: Duration, probe: &ProbeRequest, answered: bool) -> bool {
+    pub fn record_probe(
+        &mut self,
+        now: Duration,
+        probe: &ProbeRequest,
+        outcome: ProbeOutcome,
+    ) -> bool {
         let Some(key) = self.directory.key_of(probe.target) else {
             return false;
         };
         let Some(target) = self.directory.get_mut(key) else {
             return false;
         };
-        let conclusive = answered || self.evidence.is_conclusive(now, &self.cfg.evidence);
-        let outcome = match (answered, conclusive) {
-            (true, _) => ProbeOutcome::Answered,
-            (false, true) => ProbeOutcome::Failed,
-            (false, false) => ProbeOutcome::Inconclusive,
+        let Some(verdict) = self.evidence.judge(now, outcome, &self.cfg.evidence) else {
+            target.health.cancel_probe();
+            return false;
         };
-        if !target.health.record_probe(probe.requested_at, outcome) {
+        if !target.health.record_probe(probe.requested_at, verdict) {
             return false;
         }
         let domain = Arc::clone(&target.entry.domain);
--- a/crates/cookie/tests/common/mod.rs
+++ b/crates/cookie/tests/common/mod.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use sequoiatrail_cookie::{
-    Balancer, Config, Cookie, Decision, Effects, Flags, FlowId, Lifecycle, Manifest, ProbeRequest,
-    Route, Segment, Share, TargetChange, TargetEntry, TargetEvent, TargetId,
+    Balancer, Config, Cookie, Decision, Effects, Flags, FlowId, Lifecycle, Manifest, ProbeOutcome,
+    ProbeRequest, Route, Segment, Share, TargetChange, TargetEntry, TargetEvent, TargetId,
 };
 
 /// Port of the route with idempotent requests.
@@ -126,7 +126,11 @@
     ) -> Vec<ProbeRequest> {
         let probes = self.effects().probes;
         for probe in &probes {
-            self.balancer.record_probe(self.now, probe, answered(probe));
+            let outcome = match answered(probe) {
+                true => ProbeOutcome::Answered,
+                false => ProbeOutcome::TimedOut,
+            };
+            self.balancer.record_probe(self.now, probe, outcome);
         }
         probes
     }
--- a/crates/cookie/tests/silent_targets.rs
+++ b/crates/cookie/tests/silent_targets.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{IDEMPOTENT, NON_IDEMPOTENT, ROUND_TRIP, Sim, ack, data, entry, forwarded, ms, syn};
-use sequoiatrail_cookie::{Decision, ResetReason, TargetChange, TargetId};
+use sequoiatrail_cookie::{Decision, ProbeOutcome, ResetReason, TargetChange, TargetId};
 
 /// Opens flows until `target` has one; returns its client.
 fn client_of(sim: &mut Sim, target: TargetId, port: u16) -> u16 {
@@ -97,7 +97,10 @@
     sim.advance(ms(50));
     sim.decide(ack(1, IDEMPOTENT, target.cookie(), 10));
     sim.advance(ms(50));
-    assert!(!sim.balancer.record_probe(sim.now, &probes[0], false));
+    assert!(
+        !sim.balancer
+            .record_probe(sim.now, &probes[0], ProbeOutcome::TimedOut)
+    );
     assert_eq!(sim.effects().resets, []);
 }
 
@@ -313,8 +316,12 @@
     sim.decide(seg);
     let newer = sim.effects().probes[0];
     assert!(newer.requested_at > older.requested_at);
-    assert!(sim.balancer.record_probe(sim.now, &newer, false));
-    sim.balancer.record_probe(sim.now, &older, true);
+    assert!(
+        sim.balancer
+            .record_probe(sim.now, &newer, ProbeOutcome::TimedOut)
+    );
+    sim.balancer
+        .record_probe(sim.now, &older, ProbeOutcome::Answered);
     // By then the retransmissions no longer count.
     sim.advance(ms(4_000));
     for client in 300..330 {
--- a/crates/daemon/src/cookie/prober.rs
+++ b/crates/daemon/src/cookie/prober.rs
@@ -3,15 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sequoiatrail_cookie::ProbeRequest;
+use sequoiatrail_cookie::{ProbeOutcome, ProbeRequest};
 use sequoiatrail_events::Event;
-use sequoiatrail_health::ProbeOutcome;
 use sequoiatrail_settings::Probe;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 use super::egress::Egress;
 use super::shared::Shared;
-use crate::probe::{ProbeJob, ProbeQueue, run};
+use crate::probe::{ProbeFailure, ProbeJob, ProbeQueue, ProbeResult, run};
 
 /// Timeout of one connection to a target: many round trips, and longer than a
 /// throttled VM stalls.
@@ -48,7 +47,7 @@
     ) -> std::io::Result<()> {
         let shared = Arc::clone(&self.shared);
         let is_stopped = move || shared.is_shut_down();
-        let report = move |attempt, outcome| self.handle_outcome(&egress, attempt, outcome);
+        let report = move |attempt, result| self.handle_result(&egress, attempt, result);
         run(Probe::Tcp, CONNECT_TIMEOUT, queued, is_stopped, report)
     }
 
@@ -67,8 +66,8 @@
         });
     }
 
-    fn handle_outcome(&self, egress: &Egress, attempt: Attempt, outcome: ProbeOutcome) {
-        let answered = matches!(outcome, ProbeOutcome::Answered { .. });
+    fn handle_result(&self, egress: &Egress, attempt: Attempt, result: ProbeResult) {
+        let answered = result.is_ok();
         if !answered && attempt.number < MAX_ATTEMPTS {
             let number = attempt.number + 1;
             return self.enqueue(Attempt { number, ..attempt });
@@ -77,7 +76,7 @@
         let now = self.shared.clock.now();
         let (silent, effects) = {
             let mut balancer = self.shared.lock();
-            let silent = balancer.record_probe(now, &request, answered);
+            let silent = balancer.record_probe(now, &request, outcome_of(result));
             (silent, balancer.take_effects())
         };
         let target = request.target.to_string();
@@ -94,3 +93,12 @@
         egress.apply_effects(now, effects);
     }
 }
+
+fn outcome_of(result: ProbeResult) -> ProbeOutcome {
+    match result {
+        Ok(_) => ProbeOutcome::Answered,
+        Err(ProbeFailure::TimedOut) => ProbeOutcome::TimedOut,
+        Err(ProbeFailure::Refused) => ProbeOutcome::Refused,
+        Err(ProbeFailure::NotSent) => ProbeOutcome::NotSent,
+    }
+}
--- a/crates/daemon/src/daemon/start.rs
+++ b/crates/daemon/src/daemon/start.rs
@@ -8,6 +8,7 @@
 
 use sequoiatrail_core::{Core, CoreConfig};
 use sequoiatrail_events::{Event, Log};
+use sequoiatrail_health::ProbeOutcome;
 use sequoiatrail_platform::BalancerStatus;
 use sequoiatrail_settings::{Probe, Settings};
 use sequoiatrail_types::{Clock, FailureDomain, NodeId, SystemClock, TableVersion};
@@ -22,6 +23,7 @@
 use crate::forward::{DataPath, Forwarder};
 use crate::peer_link::PeerContext;
 use crate::platform_link::Write;
+use crate::probe::ProbeResult;
 use crate::targets::TargetProbeQueue;
 use crate::{Result, StopFlag, admin_link, peer_link, platform_link, probe, receive};
 
@@ -226,7 +228,11 @@
         }
         let (probe_queue, queued) = tokio::sync::mpsc::unbounded_channel();
         let timeout = Duration::from_millis(cfg.timeout_ms);
-        let report = move |round, outcome| {
+        let report = move |round, result: ProbeResult| {
+            let outcome = match result {
+                Ok(load) => ProbeOutcome::Answered { load },
+                Err(_) => ProbeOutcome::Failed,
+            };
             // The queue is closed only when the balancer stops.
             let _ = inputs.send(Input::Probed(round, outcome));
         };
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -4,7 +4,6 @@
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 use std::time::Duration;
 
-use sequoiatrail_health::ProbeOutcome;
 use sequoiatrail_settings::Probe;
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::runtime::Builder;
@@ -31,6 +30,31 @@
 /// Queue of probes to run; the probe thread ends when all senders are dropped.
 pub(crate) type ProbeQueue<K> = UnboundedSender<ProbeJob<K>>;
 
+/// Why a probe got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProbeFailure {
+    /// Nothing came back in time, or the target's host is not reachable.
+    TimedOut,
+    /// The target's host refused it.
+    Refused,
+    /// It was not sent, for want of a descriptor, a port or a network.
+    NotSent,
+}
+
+impl From<io::Error> for ProbeFailure {
+    fn from(e: io::Error) -> ProbeFailure {
+        use io::ErrorKind::{ConnectionRefused, ConnectionReset, HostUnreachable, TimedOut};
+        match e.kind() {
+            ConnectionRefused | ConnectionReset => ProbeFailure::Refused,
+            HostUnreachable | TimedOut => ProbeFailure::TimedOut,
+            _ => ProbeFailure::NotSent,
+        }
+    }
+}
+
+/// The load that a target reported, if any, in thousandths of its capacity.
+pub(crate) type ProbeResult = Result<Option<u16>, ProbeFailure>;
+
 /// Runs probes until the queue is closed or `is_stopped` returns true; calls `report`
 /// with each outcome.
 pub(crate) fn run<K, F>(
@@ -42,7 +66,7 @@
 ) -> io::Result<()>
 where
     K: Send + 'static,
-    F: Fn(K, ProbeOutcome) + Clone + Send + 'static,
+    F: Fn(K, ProbeResult) + Clone + Send + 'static,
 {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let permits = std::sync::Arc::new(tokio::sync::Semaphore::new(MAX_CONCURRENT_PROBES));
@@ -67,7 +91,7 @@
     Ok(())
 }
 
-async fn probe(kind: Probe, address: SocketAddr, probe_timeout: Duration) -> ProbeOutcome {
+async fn probe(kind: Probe, address: SocketAddr, probe_timeout: Duration) -> ProbeResult {
     let reply = timeout(probe_timeout, async {
         match kind {
             Probe::Udp => probe_udp(address).await,
@@ -75,8 +99,8 @@
         }
     });
     match reply.await {
-        Ok(Ok(load)) => ProbeOutcome::Answered { load },
-        Ok(Err(_)) | Err(_) => ProbeOutcome::Failed,
+        Ok(result) => result.map_err(ProbeFailure::from),
+        Err(_) => Err(ProbeFailure::TimedOut),
     }
 }
 
