--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -13,6 +13,7 @@
 use crate::attempts::RecentAttempts;
 use crate::directory::TargetChange;
 use crate::effects::Pending;
+use crate::evidence::Evidence;
 use crate::load_exchange::OwnLoad;
 use crate::overload::Overload;
 use crate::reports::Reports;
@@ -46,6 +47,7 @@
     pub(crate) unknown: UnknownCookies,
     pub(crate) overload: Overload,
     pub(crate) reports: Reports,
+    pub(crate) evidence: Evidence,
     pub(crate) domain_load: DomainLoad,
     pub(crate) own_load: OwnLoad,
     pub(crate) pending: Pending,
@@ -71,6 +73,7 @@
             unknown: UnknownCookies::default(),
             overload: Overload::default(),
             reports: Reports::default(),
+            evidence: Evidence::default(),
             domain_load: DomainLoad::default(),
             own_load: OwnLoad::new(FixedState::with_seed(PROCESS_SEED).hash_one(seed) as u32),
             pending: Pending::default(),
--- a/crates/cookie/src/config.rs
+++ b/crates/cookie/src/config.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::{HealthConfig, OverloadConfig, PlacementConfig, WarmupConfig};
+use crate::{EvidenceConfig, HealthConfig, OverloadConfig, PlacementConfig, WarmupConfig};
 
 /// Settings of a [`crate::Balancer`].
 #[derive(Clone, Debug)]
@@ -31,6 +31,8 @@
     pub placement: PlacementConfig,
     /// Detection of silent targets.
     pub health: HealthConfig,
+    /// Weighing of silence while packets are lost.
+    pub evidence: EvidenceConfig,
 }
 
 impl Default for Config {
@@ -46,6 +48,7 @@
             overload: OverloadConfig::default(),
             placement: PlacementConfig::default(),
             health: HealthConfig::default(),
+            evidence: EvidenceConfig::default(),
         }
     }
 }
--- a/crates/cookie/src/health.rs
+++ b/crates/cookie/src/health.rs
@@ -12,6 +12,8 @@
 
 use std::time::Duration;
 
+use crate::evidence::Verdict;
+
 /// Settings of [`Health`].
 #[derive(Clone, Copy, Debug)]
 pub struct HealthConfig {
@@ -57,12 +59,16 @@
 }
 
 /// Liveness of a target as inferred from packets and probes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 enum Liveness {
     #[default]
     Responsive,
     /// A probe was requested.
     Suspect,
+    /// A probe failed and there was no response since it was requested, but that has
+    /// other explanations. It is probed again; meanwhile it gets no new flows and keeps
+    /// those it has.
+    Unconfirmed,
     /// A probe failed and there was no response since it was requested.
     Silent,
 }
@@ -148,9 +154,9 @@
         true
     }
 
-    /// Whether the target is silent or in a backoff.
+    /// Whether the target failed its last probe or is in a backoff.
     pub fn is_suspect(&self, now: Duration) -> bool {
-        self.liveness == Liveness::Silent || now < self.backoff_until
+        self.failed_last_probe() || now < self.backoff_until
     }
 
     /// Avoids the target until `until`, or until it answers.
@@ -198,13 +204,13 @@
 
     /// Records the result of a probe requested at `requested_at`. Returns whether
     /// the target has become silent.
-    pub fn record_probe(&mut self, requested_at: Duration, answered: bool) -> bool {
+    pub(crate) fn record_probe(&mut self, requested_at: Duration, verdict: Verdict) -> bool {
         if self.last_result.is_some_and(|at| requested_at < at) {
             return false;
         }
         self.last_result = Some(requested_at);
         let before = self.liveness;
-        if answered {
+        if verdict == Verdict::Answers {
             self.unproven = false;
             self.failed_probes = 0;
             self.liveness = Liveness::Responsive;
@@ -214,20 +220,35 @@
         if self.last_response >= requested_at {
             return false;
         }
+        let confirmed = match verdict {
+            Verdict::SilentIfRepeated => self.failed_last_probe(),
+            verdict => verdict == Verdict::Silent,
+        };
+        if !confirmed {
+            self.liveness = before.max(Liveness::Unconfirmed);
+            return false;
+        }
         self.failed_probes = self.failed_probes.saturating_add(1);
         self.liveness = Liveness::Silent;
         before != Liveness::Silent
     }
 
+    /// Cancels a probe that was not made, so that another one can be requested.
+    pub(crate) fn cancel_probe(&mut self) {
+        if self.liveness == Liveness::Suspect {
+            self.liveness = Liveness::Responsive;
+        }
+    }
+
     /// Requests a probe of a target that joined while no other one could be reached. It
     /// may get flows, but does not count as reachable before it answers.
     pub(crate) fn mark_unproven(&mut self) {
         self.unproven = true;
     }
 
-    /// Whether the target is silent, or was never heard and joined while all were.
+    /// Whether the target failed its last probe, or was never heard and joined while all were.
     pub fn is_unreachable(&self) -> bool {
-        self.unproven || self.is_silent()
+        self.unproven || self.failed_last_probe()
     }
 
     /// Whether the target failed its probes, so that its flows should be reset.
@@ -249,6 +270,12 @@
         self.suspicion_count
     }
 
+    /// Whether the last probe failed, conclusive or not, without a response since. The
+    /// target is then probed until it answers, with or without traffic.
+    pub fn failed_last_probe(&self) -> bool {
+        matches!(self.liveness, Liveness::Unconfirmed | Liveness::Silent)
+    }
+
     fn has_evidence(&self, now: Duration, cfg: &HealthConfig) -> bool {
         let late = self.oldest_syn.is_some_and(|s| now > s + cfg.syn_timeout);
         let retransmitted = self
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/silence.rs
@@ -6,7 +6,9 @@
 use crate::decision::ResetReason;
 use crate::effects::Pending;
 use crate::presence::Target;
-use crate::{Balancer, Config, FlowReset, ProbeRequest, TargetEvent, TargetId, TargetKey};
+use crate::{
+    Balancer, Config, FlowReset, ProbeOutcome, ProbeRequest, TargetEvent, TargetId, TargetKey,
+};
 
 /// Number of silent targets in a failure domain from which all its targets are probed.
 const SILENT_TARGETS_THRESHOLD: usize = 2;
@@ -15,34 +17,54 @@
 
 impl Balancer {
     /// Records the result of a probe. Returns whether the target has become silent.
-    pub fn record_probe(&mut self, now: Duration, probe: &ProbeRequest, answered: bool) -> bool {
+    pub fn record_probe(
+        &mut self,
+        now: Duration,
+        probe: &ProbeRequest,
+        outcome: ProbeOutcome,
+    ) -> bool {
         let Some(key) = self.directory.key_of(probe.target) else {
             return false;
         };
         let Some(target) = self.directory.get_mut(key) else {
             return false;
         };
-        if !target.health.record_probe(probe.requested_at, answered) {
+        let Some(verdict) = self.evidence.judge(now, outcome, &self.cfg.evidence) else {
+            target.health.cancel_probe();
             return false;
-        }
+        };
+        let silent = target.health.record_probe(probe.requested_at, verdict);
+        let failed = target.health.failed_last_probe();
         let domain = Arc::clone(&target.entry.domain);
-        self.reset_flows_of(&[key], ResetReason::TargetSilent);
-        self.probe_domain(now, &domain);
-        true
+        if silent {
+            self.reset_flows_of(&[key], ResetReason::TargetSilent);
+        }
+        if silent || failed && self.is_own_domain_evacuated() {
+            self.probe_domain(now, &domain);
+        }
+        silent
+    }
+
+    fn is_own_domain_evacuated(&self) -> bool {
+        self.evacuations.contains(&self.cfg.domain)
     }
 
     /// Requests probes of all targets with flows here in a failure domain in which
     /// several targets are silent: the whole domain may be unreachable. If the own one
-    /// is evacuated, those without flows are probed too, since this balancer can't serve
-    /// at all if it reaches none.
+    /// is evacuated, doubtful targets count too and those without flows are probed, since
+    /// this balancer can't serve at all if it reaches no other domain.
     fn probe_domain(&mut self, now: Duration, domain: &str) {
         let in_domain = |t: &&mut Target| *t.entry.domain == *domain && !t.is_gone();
+        let evacuated = self.is_own_domain_evacuated();
+        let counts = |t: &&mut Target| match evacuated {
+            true => t.health.failed_last_probe(),
+            false => t.health.is_silent(),
+        };
         let silent = self.directory.iter_mut().filter(in_domain);
-        let silent = silent.filter(|t| t.health.is_silent()).count();
+        let silent = silent.filter(counts).count();
         if silent < SILENT_TARGETS_THRESHOLD {
             return;
         }
-        let evacuated = self.evacuations.contains(&self.cfg.domain);
         for target in self.directory.iter_mut().filter(in_domain) {
             if (evacuated || target.load.flows > 0) && target.health.request_probe(now) {
                 self.pending.probes.push(probe_request(target, now));
@@ -56,6 +78,7 @@
     pub fn handle_pause(&mut self, now: Duration) {
         self.drop_syns_until = now + PAUSE_BACKLOG;
         self.overload.reset();
+        self.evidence.reset();
         for target in self.directory.iter_mut() {
             target.health.discard_evidence(now);
         }
--- a/crates/daemon/src/cookie/follower.rs
+++ b/crates/daemon/src/cookie/follower.rs
@@ -31,6 +31,11 @@
     initial_delay: Duration::from_millis(300),
     max_delay: Duration::from_millis(1_000),
 };
+/// The same for evacuations, which are rare, and which peers tell while the store is away.
+const EVACUATIONS_BACKOFF: BackoffConfig = BackoffConfig {
+    initial_delay: Duration::from_millis(1_000),
+    max_delay: Duration::from_millis(2_500),
+};
 /// Mean delay from a change of the manifest or of evacuations to the next watch, to
 /// batch consecutive changes; far below the required reaction time.
 const MANIFEST_BATCH_DELAY: Duration = Duration::from_millis(400);
@@ -70,7 +75,10 @@
                 Kind::Manifest | Kind::Evacuations | Kind::Balancers => MANIFEST_BATCH_DELAY,
             },
             resync_jitter: RESYNC_SPREAD,
-            backoff: BACKOFF,
+            backoff: match kind {
+                Kind::Evacuations => EVACUATIONS_BACKOFF,
+                _ => BACKOFF,
+            },
             ..FollowConfig::default()
         };
         Follower {
