fix(cookie): balancers leave different targets out of a load report that is too small

Cause: equal targets were told in the order of the directory, so that all balancers left out the same ones, which looked idle to everyone.

Change: equal targets are ordered by a hash that differs between processes.

--- a/crates/cookie/src/load_exchange.rs
+++ b/crates/cookie/src/load_exchange.rs
@@ -2,10 +2,12 @@
 //! takes from them.
 
 use std::cmp::Reverse;
+use std::hash::BuildHasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use foldhash::quality::FixedState;
 use hashbrown::HashMap;
 
 use crate::load_rates::LoadRates;
@@ -111,18 +113,18 @@
     }
 
     /// Targets with open flows. Those of the own failure domain with requests in flight
-    /// come first: the balancers that hear of them place most of their flows there.
+    /// come first: the balancers that hear of them place most of their flows there. Equal
+    /// ones are in another order on each balancer, as otherwise all would leave out the
+    /// same targets, which would look idle to everyone.
     fn target_reports(&self) -> Vec<TargetLoadReport> {
         let used = self.directory.iter().filter(|t| t.load.flows > 0);
         let mut used: Vec<&Target> = used.filter(|t| !t.is_gone()).collect();
-        used.sort_unstable_by_key(|t| {
+        let order = FixedState::with_seed(self.own_load.process.into());
+        used.sort_by_cached_key(|t| {
             let (load, local) = (t.load, t.entry.domain == self.cfg.domain);
-            Reverse((
-                local && load.in_flight > 0,
-                load.in_flight,
-                local,
-                load.flows,
-            ))
+            let urgent = local && load.in_flight > 0;
+            let tie = order.hash_one(t.entry.id);
+            Reverse((urgent, load.in_flight, local, load.flows, tie))
         });
         used.truncate(MAX_TARGETS);
         let reports = used.iter().map(|t| TargetLoadReport {
--- a/crates/cookie/tests/domain_load.rs
+++ b/crates/cookie/tests/domain_load.rs
@@ -38,8 +38,8 @@
 }
 
 impl Member {
-    fn start(number: usize, seed: u64, flows: u16, now: Duration) -> Member {
-        let mut sim = Sim::with_seed(TARGETS, 0, seed);
+    fn start(number: usize, targets: u64, seed: u64, flows: u16, now: Duration) -> Member {
+        let mut sim = Sim::with_seed(targets, 0, seed);
         sim.now = now;
         let first = 1 + 1_000 * number as u16;
         let flows = (first..first + flows).map(|client| (client, sim.open(client, IDEMPOTENT)));
@@ -84,9 +84,13 @@
 impl Domain {
     /// A failure domain whose balancers have this many flows each.
     fn new(flows: &[u16]) -> Domain {
+        Domain::with_targets(TARGETS, flows)
+    }
+
+    fn with_targets(targets: u64, flows: &[u16]) -> Domain {
         let now = ms(100_000);
         let members = flows.iter().enumerate();
-        let members = members.map(|(n, flows)| Member::start(n, n as u64, *flows, now));
+        let members = members.map(|(n, flows)| Member::start(n, targets, n as u64, *flows, now));
         Domain {
             members: members.collect(),
             now: now + ms(1_000),
@@ -236,6 +240,17 @@
     }
 }
 
+#[test]
+fn targets_that_do_not_fit_into_reports_are_others_for_each_balancer() {
+    let mut domain = Domain::with_targets(60, &[50; 65]);
+    domain.run(ms(5_000));
+    for target in (1..=60).map(TargetId) {
+        let believed = domain.members[0].believes(target).unwrap().flows;
+        let part = believed / domain.truth(0, target);
+        assert!((0.3..=1.0).contains(&part), "{target} {part}");
+    }
+}
+
 #[test]
 fn a_dead_balancer_counts_as_the_mean_and_then_not_at_all() {
     for size in [8, 26, 65] {
@@ -259,7 +274,7 @@
     let mut domain = Domain::new(&[3, 4, 5]);
     domain.run(ms(2_000));
     let late = domain.members[1].sim.balancer.load_report(domain.now);
-    domain.members[1] = Member::start(1, 99, 10, domain.now);
+    domain.members[1] = Member::start(1, TARGETS, 99, 10, domain.now);
     domain.members[1].rotation =
         LoadRotation::new(LoadRotationConfig::default(), address(1), domain.now - STEP);
     domain.run(ms(200));
