feat(cookie): count requests on adopted flows as load

After all balancers start at once, the only load that a balancer can see is that of the open flows whose packets reach it. A flow that was adopted by its request counted as idle until the request was retransmitted, 200 ms later.

The request now counts as busy and in flight at once. Its response is not sampled as a latency, since the request may have been sent long before. The new test fails without the change.

--- a/crates/cookie/src/flows.rs
+++ b/crates/cookie/src/flows.rs
@@ -38,6 +38,9 @@
     pub stalled: bool,
     /// Whether that data was sent so recently that the target still works on it.
     pub in_flight: bool,
+    /// Whether that data was the first packet seen of a flow that another process
+    /// placed. When it was first sent is then unknown.
+    pub adopted: bool,
     /// Whether the client has closed its end. Later packets only acknowledge data, so
     /// the flow no longer counts as load.
     pub closed: bool,
@@ -57,6 +60,7 @@
             busy: false,
             stalled: false,
             in_flight: false,
+            adopted: false,
             closed: false,
         }
     }
--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -66,7 +66,7 @@
         self.attempts.record_response(&seg.flow);
         // Retransmitted requests are not sampled: the first copy may have been lost
         // (Karn's algorithm).
-        let timed = flow.busy && !flow.stalled;
+        let timed = flow.busy && !flow.stalled && !flow.adopted;
         target.load.clear_request(flow);
         let route = self.routes.get(seg.flow.route).filter(|_| timed);
         if let Some(sample) = route.and_then(|r| ResponseSample::new(r, now, flow.sent_at)) {
@@ -96,6 +96,7 @@
         target.load.mark_in_flight(flow);
         flow.seq = seg.seq;
         flow.sent_at = now;
+        flow.adopted = false;
     }
 
     /// Stops counting requests as in flight that were sent too long ago, and reports
@@ -122,7 +123,8 @@
         }
     }
 
-    /// Tracks a flow placed by another balancer.
+    /// Tracks a flow that another balancer, or an earlier process, placed. Its request
+    /// counts at once: after a start, the open flows are all the load that is known.
     pub(crate) fn adopt(&mut self, now: Duration, seg: &Segment, key: TargetKey) {
         if self.flows.len() >= self.cfg.max_flows {
             return;
@@ -131,12 +133,18 @@
             return;
         };
         target.load.flows += 1;
-        let flow = Flow {
+        let mut flow = Flow {
             open: true,
             acked: seg.ack,
             seq: seg.seq,
             ..Flow::new(key, now, 0)
         };
+        if seg.data_len > 0 {
+            flow.adopted = true;
+            target.load.mark_busy(&mut flow);
+            target.load.mark_in_flight(&mut flow);
+            self.flows.record_request(now, seg.flow);
+        }
         self.flows.insert(seg.flow, flow);
     }
 
--- a/crates/cookie/tests/placement.rs
+++ b/crates/cookie/tests/placement.rs
@@ -165,3 +165,22 @@
     sim.decide(data(1, IDEMPOTENT, busy.cookie(), 20, 9));
     assert_eq!(sim.open(3, IDEMPOTENT), idle);
 }
+
+#[test]
+fn requests_on_open_flows_count_as_soon_as_a_balancer_has_started() {
+    let mut sim = Sim::new(2, 0);
+    // Both targets hold flows from before the start; one has requests waiting.
+    for client in 1..4 {
+        sim.decide(data(client, IDEMPOTENT, TargetId(1).cookie(), 5, 9));
+    }
+    for client in 4..10 {
+        sim.decide(ack(client, IDEMPOTENT, TargetId(2).cookie(), 9));
+    }
+    let placed = counts((100..104).map(|client| sim.open(client, IDEMPOTENT)));
+    assert_eq!(placed.get(&TargetId(1)), None, "{placed:?}");
+    for client in 1..4 {
+        sim.decide(ack(client, IDEMPOTENT, TargetId(1).cookie(), 10));
+    }
+    let placed = counts((110..114).map(|client| sim.open(client, IDEMPOTENT)));
+    assert_eq!(placed.get(&TargetId(2)), None, "{placed:?}");
+}
