--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -64,6 +64,10 @@
         };
         target.health.record_response(now);
         self.attempts.record_response(&seg.flow);
+        if flow.busy {
+            let rates = &mut self.own_load.rates;
+            rates.record_response(now, &target.entry.service);
+        }
         // Retransmitted requests are not sampled: the first copy may have been lost
         // (Karn's algorithm).
         let timed = flow.busy && !flow.stalled && !flow.adopted;
@@ -93,6 +97,12 @@
         };
         self.attempts.record_sent(now, seg.flow, flow.target);
         self.flows.record_request(now, seg.flow);
+        let route = self.routes.get(seg.flow.route);
+        // Further packets of a request find it unanswered.
+        if let Some(route) = route.filter(|_| !flow.busy) {
+            let rates = &mut self.own_load.rates;
+            rates.record_request(now, &target.entry.service, route.priority);
+        }
         target.load.mark_in_flight(flow);
         flow.seq = seg.seq;
         flow.sent_at = now;
