feat(cookie): weight targets by the pace at which they answer

Load pattern: some targets of a service take several times as long as the others. Flow counts show that only once requests queue there, and an idle slow target looks like an idle fast one.

Each balancer now compares the latency of its responses with the mean of their route, as logarithms whose weight halves in 2 s, and divides a target's slots by the factor that is certain. A request on a slow target also costs as much as if others waited before it. Only requests that found a free slot as far as known are sampled, and none is used while the service is overloaded, since latencies then show queues. A target that has recovered regains its share as the evidence fades.

--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -14,6 +14,7 @@
 use crate::effects::Pending;
 use crate::load_exchange::OwnLoad;
 use crate::overload::Overload;
+use crate::pace::Paces;
 use crate::reports::Reports;
 use crate::routes::ManifestOutcome;
 use crate::silence::probe_if_suspect;
@@ -40,6 +41,7 @@
     pub(crate) attempts: RecentAttempts,
     pub(crate) unknown: UnknownCookies,
     pub(crate) overload: Overload,
+    pub(crate) paces: Paces,
     pub(crate) reports: Reports,
     pub(crate) domain_load: DomainLoad,
     pub(crate) own_load: OwnLoad,
@@ -63,6 +65,7 @@
             attempts: RecentAttempts::default(),
             unknown: UnknownCookies::default(),
             overload: Overload::default(),
+            paces: Paces::default(),
             reports: Reports::default(),
             domain_load: DomainLoad::default(),
             own_load: OwnLoad::new(FixedState::with_seed(PROCESS_SEED).hash_one(seed) as u32),
@@ -183,6 +186,7 @@
         self.attempts.sweep(now);
         self.reports.sweep(now);
         self.own_load.rates.sweep(now);
+        self.paces.sweep(now);
         let overloads = self.overload.take_changes(now);
         self.pending.overloads.extend(overloads);
         self.unknown.sweep(now, self.cfg.flow_max_age);
--- a/crates/cookie/src/decide.rs
+++ b/crates/cookie/src/decide.rs
@@ -170,6 +170,8 @@
         avoid: Option<TargetKey>,
     ) -> Option<TargetKey> {
         let keys = self.directory.for_service(service).to_vec();
+        // While requests wait at all targets, latencies show queues rather than paces.
+        let overloaded = self.overload.limit(now, service).is_some();
         let mut candidates = Vec::with_capacity(keys.len());
         for key in keys {
             let Some(target) = self.directory.get_mut(key) else {
@@ -187,12 +189,17 @@
                 });
             }
             probe_if_suspect(&self.cfg, &mut self.pending, now, target);
+            let slowness = match overloaded {
+                true => 1.0,
+                false => self.paces.slowness(now, target.entry.id),
+            };
             candidates.push(Candidate {
                 key,
                 local: target.entry.domain == self.cfg.domain,
                 cold: now < target.cold_until,
                 avoid: suspected || avoid == Some(key),
                 slots: target.entry.slots,
+                slowness,
                 load: target.load,
             });
         }
--- a/crates/cookie/src/flows.rs
+++ b/crates/cookie/src/flows.rs
@@ -38,6 +38,9 @@
     pub stalled: bool,
     /// Whether that data was sent so recently that the target still works on it.
     pub in_flight: bool,
+    /// Whether the target had a free slot when that data was sent, as far as is known, so
+    /// that the latency shows its pace.
+    pub found_free: bool,
     /// Whether that data was the first packet seen of a flow that another process
     /// placed. When it was first sent is then unknown.
     pub adopted: bool,
@@ -60,6 +63,7 @@
             busy: false,
             stalled: false,
             in_flight: false,
+            found_free: false,
             adopted: false,
             closed: false,
         }
--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -33,7 +33,7 @@
             self.record_answer(now, seg, &mut flow);
         }
         if retransmitted {
-            self.record_retransmit(now, &mut flow);
+            self.record_retransmit(now, seg, &mut flow);
         } else if seg.data_len > 0 {
             self.record_new_data(now, seg, &mut flow);
         }
@@ -72,6 +72,11 @@
         // (Karn's algorithm).
         let timed = flow.busy && !flow.stalled && !flow.adopted;
         target.load.clear_request(flow);
+        if timed && flow.found_free {
+            let latency = now.saturating_sub(flow.sent_at);
+            let id = target.entry.id;
+            self.paces.record(now, id, seg.flow.route, latency);
+        }
         let route = self.routes.get(seg.flow.route).filter(|_| timed);
         if let Some(sample) = route.and_then(|r| ResponseSample::new(r, now, flow.sent_at)) {
             let service = &target.entry.service;
@@ -81,11 +86,17 @@
     }
 
     /// Records that the client sent its last data again.
-    fn record_retransmit(&mut self, now: Duration, flow: &mut Flow) {
+    fn record_retransmit(&mut self, now: Duration, seg: &Segment, flow: &mut Flow) {
         let Some(target) = self.directory.get_mut(flow.target) else {
             return;
         };
         let cfg = &self.cfg.health;
+        if !flow.stalled && flow.found_free {
+            // The response takes at least until now.
+            let latency = now.saturating_sub(flow.sent_at);
+            let id = target.entry.id;
+            self.paces.record(now, id, seg.flow.route, latency);
+        }
         target.health.record_retransmit(now, flow.sent_at, cfg);
         target.load.mark_stalled(flow);
     }
@@ -103,6 +114,8 @@
             let rates = &mut self.own_load.rates;
             rates.record_request(now, &target.entry.service, route.priority);
         }
+        let neighbors = self.domain_load.target(now, target.entry.id);
+        flow.found_free = target.has_free_slot(neighbors);
         target.load.mark_in_flight(flow);
         flow.seq = seg.seq;
         flow.sent_at = now;
--- a/crates/cookie/src/place.rs
+++ b/crates/cookie/src/place.rs
@@ -50,16 +50,29 @@
     pub avoid: bool,
     /// Maximum number of concurrent requests; at least 1.
     pub slots: u32,
+    /// Factor by which it takes longer than others of its service; at least 1.
+    pub slowness: f64,
     /// Its load as seen by this balancer.
     pub load: Load,
 }
 
 impl Candidate {
+    /// Slots of a target of usual pace that complete as many requests.
+    fn usable_slots(&self) -> f64 {
+        self.slots_f64() / self.slowness.max(1.0)
+    }
+
+    fn slots_f64(&self) -> f64 {
+        f64::from(self.slots.max(1))
+    }
+
     fn cost(&self, cfg: &PlacementConfig) -> f64 {
         let busy = f64::from(self.load.busy) * cfg.busy_cost;
         let stalled = f64::from(self.load.stalled) * cfg.stalled_cost;
         let flows = f64::from(self.load.flows) + busy + stalled;
-        let mut cost = (flows + 1.0) / f64::from(self.slots.max(1));
+        // The request takes as much longer on a slow target as if others waited there.
+        let slow = (self.slowness - 1.0).max(0.0) * (1.0 + cfg.busy_cost);
+        let mut cost = (flows + 1.0) / self.usable_slots() + slow / self.slots_f64();
         if !self.local {
             cost += cfg.cross_domain_cost;
         }
@@ -82,7 +95,7 @@
 ) -> Option<TargetKey> {
     let mut best: Option<(f64, TargetKey)> = None;
     for c in candidates {
-        let jitter = rng.random::<f64>() / f64::from(c.slots.max(1));
+        let jitter = rng.random::<f64>() / c.usable_slots();
         let cost = c.cost(cfg) + jitter;
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, c.key));
--- a/crates/cookie/src/presence.rs
+++ b/crates/cookie/src/presence.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{Health, Lifecycle, Load, TargetEntry};
+use crate::{Health, Lifecycle, Load, NeighborLoad, TargetEntry};
 
 /// Grace period for an entry that vanished while the store was unstable: it may come
 /// back, so its flows are kept.
@@ -68,6 +68,12 @@
         present && self.entry.lifecycle == Lifecycle::Ready
     }
 
+    /// Whether a request is likely to run at once.
+    pub fn has_free_slot(&self, neighbors: Option<NeighborLoad>) -> bool {
+        let others = neighbors.map_or(0.0, |load| load.in_flight);
+        f64::from(self.load.in_flight) + others < f64::from(self.entry.slots)
+    }
+
     /// Whether it is gone, so that its flows can't continue.
     pub fn is_gone(&self) -> bool {
         matches!(self.presence, Presence::Gone { .. })
--- a/crates/cookie/tests/common/replay.rs
+++ b/crates/cookie/tests/common/replay.rs
@@ -67,6 +67,8 @@
     pub now: Duration,
     events: BTreeMap<(Duration, u64), (Session, Event)>,
     servers: BTreeMap<TargetId, Server>,
+    /// Factor on the service time of slow targets.
+    pub slow: BTreeMap<TargetId, u32>,
     pub counts: BTreeMap<u16, Counts>,
     next_client: u16,
     sequence: u64,
@@ -74,8 +76,13 @@
 
 impl Replay {
     pub fn new(balancers: usize, overload: OverloadConfig) -> Replay {
+        Replay::with_targets(balancers, overload, TARGETS)
+    }
+
+    /// Balancers with `targets` targets instead of `TARGETS`.
+    pub fn with_targets(balancers: usize, overload: OverloadConfig, targets: u64) -> Replay {
         let sims = std::iter::repeat_with(|| {
-            let mut sim = Sim::new(TARGETS, 0);
+            let mut sim = Sim::new(targets, 0);
             sim.balancer.configure(Config {
                 domain: "a".into(),
                 overload,
@@ -89,6 +96,7 @@
             sims,
             events: BTreeMap::new(),
             servers: BTreeMap::new(),
+            slow: BTreeMap::new(),
             counts: BTreeMap::new(),
             next_client: 1,
             sequence: 0,
@@ -181,10 +189,11 @@
         );
         forwarded(self.decide(seg));
         let now = self.now;
+        let service_time = self.service_time(target);
         let server = self.servers.entry(target).or_default();
         if server.active < SLOTS {
             server.active += 1;
-            return self.schedule(now + SERVICE_TIME, session, Event::Finish(target));
+            return self.schedule(now + service_time, session, Event::Finish(target));
         }
         if server.queue.len() < QUEUE_LEN {
             return server.queue.push_back(session);
@@ -201,13 +210,18 @@
     fn finish(&mut self, session: Session, target: TargetId) {
         let now = self.now;
         self.schedule(now + 2 * ONE_WAY_DELAY, session, Event::Response(target));
+        let service_time = self.service_time(target);
         let server = self.servers.get_mut(&target).unwrap();
         match server.queue.pop_front() {
-            Some(next) => self.schedule(now + SERVICE_TIME, next, Event::Finish(target)),
+            Some(next) => self.schedule(now + service_time, next, Event::Finish(target)),
             None => server.active -= 1,
         }
     }
 
+    fn service_time(&self, target: TargetId) -> Duration {
+        SERVICE_TIME * self.slow.get(&target).copied().unwrap_or(1)
+    }
+
     fn response(&mut self, mut session: Session, target: TargetId) {
         session.completed += 1;
         let seg = ack(
