feat(cookie): place new flows by the room of the failure domain and its sums

Load patterns: demand that differs from the room of its failure domain, and a target with a queue of which each of many balancers sees little.

With the load of the failure domain known, new flows leave it only by the excess of the requests in flight over the usable slots (spill.rs), in place of a fixed cost of four flows a slot, which stays for when it is unknown. The share rises from zero with the excess, so it needs no hysteresis.

Load that the other balancers have at a target deters from it, as far as it exceeds the mean and a request for each slot, with a probability that leaves the target its share (crowd.rs). Reports are many times older than a request takes.

Each test of tests/domain_sums.rs fails without the part it names, but for that of eight balancers, which guards against preferring the lowest sum.

--- a/crates/cookie/src/decide.rs
+++ b/crates/cookie/src/decide.rs
@@ -201,9 +201,13 @@
                 slots: target.entry.slots,
                 slowness,
                 load: target.load,
+                neighbors: self.domain_load.target(now, target.entry.id),
             });
         }
-        choose(&self.cfg.placement, candidates.into_iter(), &mut self.rng)
+        let own: u32 = candidates.iter().map(|c| c.load.in_flight).sum();
+        let others = self.domain_load.service(now, service);
+        let in_flight = others.map(|others| f64::from(own) + others.in_flight);
+        choose(&self.cfg.placement, &candidates, in_flight, &mut self.rng)
     }
 
     fn forward(&self, key: TargetKey, syn: Option<&Segment>, reason: PlaceReason) -> Decision {
--- a/crates/cookie/src/lib.rs
+++ b/crates/cookie/src/lib.rs
@@ -12,6 +12,7 @@
 mod attempts;
 mod balancer;
 mod config;
+mod crowd;
 mod decide;
 mod decision;
 mod directory;
@@ -39,6 +40,7 @@
 mod segment;
 mod silence;
 mod snapshot;
+mod spill;
 mod target;
 mod unknown;
 
--- a/crates/cookie/src/place.rs
+++ b/crates/cookie/src/place.rs
@@ -6,16 +6,24 @@
 use rand::Rng;
 use rand::RngExt;
 
-use crate::{Load, TargetKey};
+use crate::crowd::CrowdLimit;
+use crate::spill::spill_share;
+use crate::{Load, NeighborLoad, TargetKey};
 
 /// Cost of a target used only as a last resort, in flows per slot.
-const AVOID_COST: f64 = 1_000.0;
+const AVOID_COST: f64 = 1e9;
+/// Cost of a target that is not in the failure domain that a flow is to be placed in, in
+/// flows per slot. Above any load, since a target may hold thousands of idle flows.
+const WRONG_DOMAIN_COST: f64 = 1e6;
 
 /// Cost settings of the target selection.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementConfig {
-    /// Cost of a target in another failure domain, in flows per slot.
+    /// Cost of a target in another failure domain while the load of this one is unknown,
+    /// in flows per slot.
     pub cross_domain_cost: f64,
+    /// Requests in flight per usable slot above which flows leave the failure domain.
+    pub spill_load: f64,
     /// Cost of a target that is still warming up, in flows per slot.
     pub cold_cost: f64,
     /// Additional cost of a flow with an unanswered request, in open flows: it takes a
@@ -30,6 +38,7 @@
     fn default() -> Self {
         Self {
             cross_domain_cost: 4.0,
+            spill_load: 1.0,
             cold_cost: 2.0,
             busy_cost: 7.0,
             stalled_cost: 4.0,
@@ -54,11 +63,13 @@
     pub slowness: f64,
     /// Its load as seen by this balancer.
     pub load: Load,
+    /// Its load by the other balancers of the failure domain, if known.
+    pub neighbors: Option<NeighborLoad>,
 }
 
 impl Candidate {
     /// Slots of a target of usual pace that complete as many requests.
-    fn usable_slots(&self) -> f64 {
+    pub(crate) fn usable_slots(&self) -> f64 {
         self.slots_f64() / self.slowness.max(1.0)
     }
 
@@ -73,9 +84,6 @@
         // The request takes as much longer on a slow target as if others waited there.
         let slow = (self.slowness - 1.0).max(0.0) * (1.0 + cfg.busy_cost);
         let mut cost = (flows + 1.0) / self.usable_slots() + slow / self.slots_f64();
-        if !self.local {
-            cost += cfg.cross_domain_cost;
-        }
         if self.cold {
             cost += cfg.cold_cost;
         }
@@ -86,17 +94,56 @@
     }
 }
 
+/// Costs of the failure domains for one flow, in flows per slot.
+#[derive(Clone, Copy, Debug)]
+struct DomainCosts {
+    local: f64,
+    remote: f64,
+}
+
+impl DomainCosts {
+    fn new(
+        cfg: &PlacementConfig,
+        candidates: &[Candidate],
+        in_flight: Option<f64>,
+        rng: &mut impl Rng,
+    ) -> DomainCosts {
+        let Some(in_flight) = in_flight else {
+            return DomainCosts {
+                local: 0.0,
+                remote: cfg.cross_domain_cost,
+            };
+        };
+        let leaves = rng.random::<f64>() < spill_share(cfg, candidates, in_flight);
+        let (local, remote) = match leaves {
+            true => (WRONG_DOMAIN_COST, 0.0),
+            false => (0.0, WRONG_DOMAIN_COST),
+        };
+        DomainCosts { local, remote }
+    }
+}
+
 /// Selects the cheapest candidate, with a random part of one flow added to each, so
 /// that balancers with the same view of the load do not all select the same target.
+/// `in_flight` are the service's unanswered requests through all balancers of the
+/// failure domain, if known.
 pub fn choose(
     cfg: &PlacementConfig,
-    candidates: impl Iterator<Item = Candidate>,
+    candidates: &[Candidate],
+    in_flight: Option<f64>,
     rng: &mut impl Rng,
 ) -> Option<TargetKey> {
+    let domains = DomainCosts::new(cfg, candidates, in_flight, rng);
+    let crowd = CrowdLimit::new(cfg, candidates);
     let mut best: Option<(f64, TargetKey)> = None;
     for c in candidates {
         let jitter = rng.random::<f64>() / c.usable_slots();
-        let cost = c.cost(cfg) + jitter;
+        let domain = if c.local {
+            domains.local
+        } else {
+            domains.remote
+        };
+        let cost = c.cost(cfg) + domain + crowd.cost(cfg, c, rng) + jitter;
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, c.key));
         }
