feat(cookie): count long requests through this balancer as demand

Requests stop counting as in flight after 500 ms, so that a service whose requests run for longer seemed to leave room while all local slots were taken. This balancer's own unanswered requests now count whatever their age; those of the others still only for 500 ms, as the reports say no more. The new test fails without.

--- a/crates/cookie/src/decide.rs
+++ b/crates/cookie/src/decide.rs
@@ -204,9 +204,8 @@
                 neighbors: self.domain_load.target(now, target.entry.id),
             });
         }
-        let own: u32 = candidates.iter().map(|c| c.load.in_flight).sum();
         let others = self.domain_load.service(now, service);
-        let in_flight = others.map(|others| f64::from(own) + others.in_flight);
+        let in_flight = others.map(|others| others.in_flight);
         choose(&self.cfg.placement, &candidates, in_flight, &mut self.rng)
     }
 
--- a/crates/cookie/src/place.rs
+++ b/crates/cookie/src/place.rs
@@ -105,16 +105,16 @@
     fn new(
         cfg: &PlacementConfig,
         candidates: &[Candidate],
-        in_flight: Option<f64>,
+        others: Option<f64>,
         rng: &mut impl Rng,
     ) -> DomainCosts {
-        let Some(in_flight) = in_flight else {
+        let Some(others) = others else {
             return DomainCosts {
                 local: 0.0,
                 remote: cfg.cross_domain_cost,
             };
         };
-        let leaves = rng.random::<f64>() < spill_share(cfg, candidates, in_flight);
+        let leaves = rng.random::<f64>() < spill_share(cfg, candidates, others);
         let (local, remote) = match leaves {
             true => (WRONG_DOMAIN_COST, 0.0),
             false => (0.0, WRONG_DOMAIN_COST),
@@ -125,15 +125,15 @@
 
 /// Selects the cheapest candidate, with a random part of one flow added to each, so
 /// that balancers with the same view of the load do not all select the same target.
-/// `in_flight` are the service's unanswered requests through all balancers of the
+/// `others` are the service's requests in flight through the other balancers of the
 /// failure domain, if known.
 pub fn choose(
     cfg: &PlacementConfig,
     candidates: &[Candidate],
-    in_flight: Option<f64>,
+    others: Option<f64>,
     rng: &mut impl Rng,
 ) -> Option<TargetKey> {
-    let domains = DomainCosts::new(cfg, candidates, in_flight, rng);
+    let domains = DomainCosts::new(cfg, candidates, others, rng);
     let crowd = CrowdLimit::new(cfg, candidates);
     let mut best: Option<(f64, TargetKey)> = None;
     for c in candidates {
--- a/crates/cookie/tests/domain_sums.rs
+++ b/crates/cookie/tests/domain_sums.rs
@@ -26,13 +26,13 @@
 
 /// Flows of `flows` new ones that each candidate gets while the sums stay the same; the
 /// balancer sees its own flows.
-fn place(seed: u64, candidates: &[Candidate], in_flight: f64, flows: u32) -> Vec<u32> {
+fn place(seed: u64, candidates: &[Candidate], others: f64, flows: u32) -> Vec<u32> {
     let mut candidates = candidates.to_vec();
     let mut placed = vec![0; candidates.len()];
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let cfg = PlacementConfig::default();
     for _ in 0..flows {
-        let key = choose(&cfg, &candidates, Some(in_flight), &mut rng);
+        let key = choose(&cfg, &candidates, Some(others), &mut rng);
         let number = candidates.iter().position(|c| Some(c.key) == key).unwrap();
         candidates[number].load.flows += 1;
         placed[number] += 1;
@@ -89,6 +89,18 @@
     }
 }
 
+#[test]
+fn flows_leave_while_long_requests_take_all_local_slots() {
+    let mut candidates = candidates(4, 4);
+    for c in &mut candidates[..4] {
+        c.load.flows = 4;
+        c.load.busy = 4;
+    }
+    let placed = place(5, &candidates, 0.0, 1_000);
+    let left = placed[4..].iter().sum::<u32>();
+    assert!((450..=550).contains(&left), "{placed:?}");
+}
+
 #[test]
 fn flows_leave_a_failure_domain_whose_targets_are_slow_or_suspect() {
     let mut candidates = candidates(4, 4);
