--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -16,6 +16,7 @@
 use crate::evidence::Evidence;
 use crate::load_exchange::OwnLoad;
 use crate::overload::Overload;
+use crate::pace::Paces;
 use crate::reports::Reports;
 use crate::routes::ManifestOutcome;
 use crate::silence::probe_if_suspect;
@@ -46,6 +47,7 @@
     pub(crate) attempts: RecentAttempts,
     pub(crate) unknown: UnknownCookies,
     pub(crate) overload: Overload,
+    pub(crate) paces: Paces,
     pub(crate) reports: Reports,
     pub(crate) evidence: Evidence,
     pub(crate) domain_load: DomainLoad,
@@ -72,6 +74,7 @@
             attempts: RecentAttempts::default(),
             unknown: UnknownCookies::default(),
             overload: Overload::default(),
+            paces: Paces::default(),
             reports: Reports::default(),
             evidence: Evidence::default(),
             domain_load: DomainLoad::default(),
@@ -272,6 +275,7 @@
         self.reports.sweep(now);
         self.warmup.sweep(now);
         self.own_load.rates.sweep(now);
+        self.paces.sweep(now);
         let overloads = self.overload.take_changes(now);
         self.pending.overloads.extend(overloads);
         self.unknown.sweep(now, self.cfg.flow_max_age);
--- a/crates/cookie/src/flows.rs
+++ b/crates/cookie/src/flows.rs
@@ -38,6 +38,12 @@
     pub stalled: bool,
     /// Whether that data was sent so recently that the target still works on it.
     pub in_flight: bool,
+    /// Whether the target had a free slot when that data was sent, as far as is known, so
+    /// that the latency shows its pace.
+    pub found_free: bool,
+    /// Whether that data was the first packet seen of a flow that another process
+    /// placed. When it was first sent is then unknown.
+    pub adopted: bool,
     /// Whether the client has closed its end. Later packets only acknowledge data, so
     /// the flow no longer counts as load.
     pub closed: bool,
@@ -57,6 +63,8 @@
             busy: false,
             stalled: false,
             in_flight: false,
+            found_free: false,
+            adopted: false,
             closed: false,
         }
     }
--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -33,7 +33,7 @@
             self.record_answer(now, seg, &mut flow);
         }
         if retransmitted {
-            self.record_retransmit(now, &mut flow);
+            self.record_retransmit(now, seg, &mut flow);
         } else if seg.data_len > 0 {
             self.record_new_data(now, seg, &mut flow);
         }
@@ -66,17 +66,22 @@
         };
         target.health.record_response(now);
         self.attempts.record_response(&seg.flow);
-        // Retransmitted requests are not sampled: the first copy may have been lost
-        // (Karn's algorithm).
         if flow.busy {
             let rates = &mut self.own_load.rates;
             rates.record_response(now, &target.entry.service);
         }
-        let timed = flow.busy && !flow.stalled;
         if flow.busy || !flow.open {
             self.evidence.record_answer(now, flow.stalled);
         }
+        // Retransmitted requests are not sampled: the first copy may have been lost
+        // (Karn's algorithm).
+        let timed = flow.busy && !flow.stalled && !flow.adopted;
         target.load.clear_request(flow);
+        if timed && flow.found_free {
+            let latency = now.saturating_sub(flow.sent_at);
+            let id = target.entry.id;
+            self.paces.record(now, id, seg.flow.route, latency);
+        }
         let route = self.routes.get(seg.flow.route).filter(|_| timed);
         if let Some(sample) = route.and_then(|r| ResponseSample::new(r, now, flow.sent_at)) {
             let service = &target.entry.service;
@@ -86,11 +91,17 @@
     }
 
     /// Records that the client sent its last data again.
-    fn record_retransmit(&mut self, now: Duration, flow: &mut Flow) {
+    fn record_retransmit(&mut self, now: Duration, seg: &Segment, flow: &mut Flow) {
         let Some(target) = self.directory.get_mut(flow.target) else {
             return;
         };
         let cfg = &self.cfg.health;
+        if !flow.stalled && flow.found_free {
+            // The response takes at least until now.
+            let latency = now.saturating_sub(flow.sent_at);
+            let id = target.entry.id;
+            self.paces.record(now, id, seg.flow.route, latency);
+        }
         target.health.record_retransmit(now, flow.sent_at, cfg);
         target.load.mark_stalled(flow);
     }
@@ -109,9 +120,12 @@
             let rates = &mut self.own_load.rates;
             rates.record_request(now, &target.entry.service, route.priority);
         }
+        let neighbors = self.domain_load.target(now, target.entry.id);
+        flow.found_free = target.has_free_slot(neighbors);
         target.load.mark_in_flight(flow);
         flow.seq = seg.seq;
         flow.sent_at = now;
+        flow.adopted = false;
     }
 
     /// Stops counting requests as in flight that were sent too long ago, and reports
@@ -138,7 +152,8 @@
         }
     }
 
-    /// Tracks a flow placed by another balancer.
+    /// Tracks a flow that another balancer, or an earlier process, placed. Its request
+    /// counts at once: after a start, the open flows are all the load that is known.
     pub(crate) fn adopt(&mut self, now: Duration, seg: &Segment, key: TargetKey) {
         if self.flows.len() >= self.cfg.max_flows {
             return;
@@ -147,12 +162,18 @@
             return;
         };
         target.load.flows += 1;
-        let flow = Flow {
+        let mut flow = Flow {
             open: true,
             acked: seg.ack,
             seq: seg.seq,
             ..Flow::new(key, now, 0)
         };
+        if seg.data_len > 0 {
+            flow.adopted = true;
+            target.load.mark_busy(&mut flow);
+            target.load.mark_in_flight(&mut flow);
+            self.flows.record_request(now, seg.flow);
+        }
         self.flows.insert(seg.flow, flow);
     }
 
--- a/crates/cookie/tests/evacuations.rs
+++ b/crates/cookie/tests/evacuations.rs
@@ -5,9 +5,11 @@
 use std::sync::Arc;
 
 use common::{IDEMPOTENT, Sim, data, entry, forwarded, known, ms, syn};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use sequoiatrail_cookie::{
-    Config, Decision, EvacuationChange, EvacuationEvent, EvacuationList, ProbeRequest, ResetReason,
-    TargetChange, TargetId,
+    Candidate, Config, Decision, EvacuationChange, EvacuationEvent, EvacuationList, Load,
+    PlacementConfig, ProbeRequest, ResetReason, TargetChange, TargetId, TargetKey, choose,
 };
 use sequoiatrail_types::{Era, StoreRevision};
 
@@ -134,6 +136,42 @@
     assert_eq!(later, 20);
 }
 
+/// A returning domain with 10 targets, as far from its full return as `returning`, and
+/// 10 targets elsewhere, while little of the service's requests is in flight.
+fn flows_placed_locally(returning: f64) -> usize {
+    let mut sim = Sim::new(20, 0);
+    sim.decide(syn(1, IDEMPOTENT, 0));
+    let keys = sim.balancer.directory().for_service("app").to_vec();
+    let candidates: Vec<Candidate> = keys
+        .into_iter()
+        .enumerate()
+        .map(|(number, key)| Candidate {
+            key,
+            local: number < 10,
+            cold: false,
+            returning: if number < 10 { returning } else { 0.0 },
+            avoid: false,
+            slots: 2,
+            slowness: 1.0,
+            load: Load::default(),
+            neighbors: None,
+        })
+        .collect();
+    let local: Vec<TargetKey> = candidates[..10].iter().map(|c| c.key).collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let cfg = PlacementConfig::default();
+    let placed = (0..1_000).filter_map(|_| choose(&cfg, &candidates, Some(10.0), &mut rng));
+    placed.filter(|key| local.contains(key)).count()
+}
+
+#[test]
+fn flows_return_step_by_step_while_the_load_of_the_domain_is_known() {
+    assert_eq!(flows_placed_locally(1.0), 0);
+    let half = flows_placed_locally(0.75);
+    assert!((300..700).contains(&half), "{half} of 1000");
+    assert_eq!(flows_placed_locally(0.0), 1_000);
+}
+
 #[test]
 fn a_balancer_in_an_evacuated_domain_that_is_cut_off_finds_itself_isolated() {
     let mut sim = Sim::new(4, 8);
