--- a/crates/cookie/tests/domain_sums.rs
+++ b/crates/cookie/tests/domain_sums.rs
@@ -15,6 +15,7 @@
         key: *key,
         local: number < local,
         cold: false,
+        returning: 0.0,
         avoid: false,
         slots: 2,
         slowness: 1.0,
