--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -90,7 +90,8 @@
         self.overload.limit(now, service)
     }
 
-    /// Whether there are targets that accept new flows and all of them are silent.
+    /// Whether there are targets that accept new flows and all of them failed their last
+    /// probe.
     /// This VM is then likely partitioned from them, while other VMs may not be.
     pub fn is_isolated(&self) -> bool {
         let mut usable = self
--- a/crates/cookie/src/evidence.rs
+++ b/crates/cookie/src/evidence.rs
@@ -31,8 +31,8 @@
     pub max_recovered: f64,
     /// Minimum number of such requests; a few of them are ordinary loss.
     pub min_recovered: u32,
-    /// Fraction of the requests that must be answered: more than the targets outside of
-    /// the largest outage to be found at once.
+    /// Fraction of the requests that must be answered. An outage of most targets at once
+    /// looks like trouble of this VM and costs no open flow.
     pub min_answered: f64,
     /// Minimum number of requests for that fraction to count.
     pub min_sent: u32,
--- a/crates/cookie/src/health.rs
+++ b/crates/cookie/src/health.rs
@@ -7,7 +7,8 @@
 //!
 //! Packets alone only make a target suspect, since a busy target looks the same as
 //! a dead one. A suspect target is probed with a plain connection, and only a
-//! failed probe marks it silent. Its flows are then reset so that clients can retry
+//! failed probe marks it silent, unless packets to targets that live are lost too.
+//! Its flows are then reset so that clients can retry
 //! idempotent requests on another target before they time out.
 
 use std::time::Duration;
@@ -119,6 +120,13 @@
         self.retransmits = self.retransmits.saturating_add(1);
     }
 
+    /// Discards the retransmissions that count for [`Health::silence_timed_out`]. The
+    /// target stays suspect.
+    pub(crate) fn discard_silence(&mut self) {
+        self.unanswered_since = None;
+        self.retransmits = 0;
+    }
+
     /// Records a response of the target; clears all suspicion.
     pub fn record_response(&mut self, now: Duration) {
         *self = Health {
--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -44,9 +44,7 @@
             target.load.mark_busy(&mut flow);
         }
         probe_if_suspect(&self.cfg, &mut self.pending, now, target);
-        let timed_out = retransmitted
-            && target.health.silence_timed_out(now, &self.cfg.health)
-            && self.evidence.is_conclusive(now, &self.cfg.evidence);
+        let timed_out = retransmitted && target.health.silence_timed_out(now, &self.cfg.health);
         let silent = target.health.is_silent() || timed_out;
         flow.open = true;
         flow.acked = seg.ack;
@@ -88,6 +86,9 @@
         };
         let cfg = &self.cfg.health;
         target.health.record_retransmit(now, flow.sent_at, cfg);
+        if !self.evidence.is_conclusive(now, &self.cfg.evidence) {
+            target.health.discard_silence();
+        }
         target.load.mark_stalled(flow);
     }
 
