--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -64,12 +64,12 @@
         };
         target.health.record_response(now);
         self.attempts.record_response(&seg.flow);
-        // Retransmitted requests are not sampled: the first copy may have been lost
-        // (Karn's algorithm).
         if flow.busy {
             let rates = &mut self.own_load.rates;
             rates.record_response(now, &target.entry.service);
         }
+        // Retransmitted requests are not sampled: the first copy may have been lost
+        // (Karn's algorithm).
         let timed = flow.busy && !flow.stalled;
         target.load.clear_request(flow);
         let route = self.routes.get(seg.flow.route).filter(|_| timed);
--- a/crates/cookie/tests/domain_load.rs
+++ b/crates/cookie/tests/domain_load.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use common::{IDEMPOTENT, Sim, data, ms};
+use common::{IDEMPOTENT, Sim, data, ms, syn};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sequoiatrail_cookie::{
@@ -358,6 +358,18 @@
     assert_eq!(load.target(domain.now + ms(1_500), TargetId(1)), None);
 }
 
+#[test]
+fn refused_flows_count_as_demand() {
+    let mut sim = Sim::new(0, 0);
+    for client in 1..6 {
+        sim.decide(syn(client, IDEMPOTENT, 0));
+    }
+    let report = sim.balancer.load_report(sim.now).unwrap();
+    let demand = report.services[0].demand[0];
+    assert!(demand.refused_per_s > 0.0);
+    assert_eq!(demand.flows_per_s, demand.refused_per_s);
+}
+
 #[test]
 fn the_demand_of_a_service_adds_up() {
     for size in DOMAINS {
