--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -17,7 +17,8 @@
 use crate::silence::probe_if_suspect;
 use crate::unknown::UnknownCookies;
 use crate::{
-    Config, Directory, DomainLoad, Effects, FlowTable, Manifest, Routes, TargetEvent, TargetId,
+    Config, Directory, DomainLoad, Effects, FlowTable, Manifest, PriorityDemand, Routes,
+    TargetEvent, TargetId,
 };
 
 /// Hash seed for splitting a route's flows among services. It is the same on every
@@ -87,6 +88,25 @@
         self.overload.limit(now, service)
     }
 
+    /// Requests per second that may be sent to the targets of a service through this
+    /// balancer; `None` while all fit, or if its routes don't differ in priority.
+    pub fn request_budget(&self, now: Duration, service: &str) -> Option<f64> {
+        self.overload.budget(now, service)
+    }
+
+    /// Demand for a service by priority, the most urgent first; `None` if its routes
+    /// don't differ in priority.
+    pub fn demand(&self, service: &str) -> Option<Vec<PriorityDemand>> {
+        self.overload.demand(service)
+    }
+
+    /// Sets the wall clock: `wall` is the time since the Unix epoch. Balancers derive
+    /// from it whom they refuse, so that they refuse the same clients; a wrong clock
+    /// only makes them differ.
+    pub fn set_wall_clock(&mut self, now: Duration, wall: Duration) {
+        self.overload.set_wall_clock(now, wall);
+    }
+
     /// Whether there are targets that accept new flows and all of them are silent.
     /// This VM is then likely partitioned from them, while other VMs may not be.
     pub fn is_isolated(&self) -> bool {
@@ -132,6 +152,7 @@
     ) -> ManifestOutcome {
         let outcome = self.routes.apply(&manifest, at);
         if outcome != ManifestOutcome::Stale {
+            self.overload.apply_manifest(&manifest);
             self.manifest = Some(manifest);
         }
         outcome
--- a/crates/cookie/src/decide.rs
+++ b/crates/cookie/src/decide.rs
@@ -6,9 +6,16 @@
 
 use crate::decision::{Decision, DropReason, PlaceReason, ResetReason};
 use crate::flows::Flow;
+use crate::overload::{Capacity, NewFlow};
 use crate::presence::Target;
 use crate::silence::probe_if_suspect;
-use crate::{Balancer, Candidate, Cookie, FlowId, Route, Segment, Suspicion, TargetKey, choose};
+use crate::{
+    Balancer, Candidate, Cookie, FlowId, PriorityDemand, Route, Segment, Suspicion, TargetKey,
+    choose,
+};
+
+/// Part of a cold target's slots that counts as capacity; it takes about twice as long.
+const COLD_PART: f64 = 0.5;
 
 impl Balancer {
     /// Decides what to do with a client's packet.
@@ -71,7 +78,7 @@
     }
 
     /// Whether the service is not overloaded, so that a new flow is accepted.
-    fn admits(&mut self, now: Duration, service: &str, seg: &Segment) -> bool {
+    fn admits(&mut self, now: Duration, service: &Arc<str>, seg: &Segment) -> bool {
         self.expire_requests(now);
         let Some(route) = self.routes.get(seg.flow.route) else {
             return true;
@@ -80,9 +87,54 @@
         let usable = keys.filter_map(|key| self.directory.get(*key));
         let usable = usable.filter(|target| !target.health.is_suspect(now));
         let in_flight = usable.map(|target| target.load.in_flight).sum();
+        let flow = NewFlow {
+            priority: route.priority,
+            client: *seg.flow.client.ip(),
+            in_flight,
+            capacity: self.capacity(now, service),
+        };
         let cfg = &self.cfg.overload;
-        self.overload
-            .admits(cfg, now, service, route.priority, in_flight)
+        self.overload.admits(cfg, now, service, flow)
+    }
+
+    /// Room at the targets of a service that accept new flows.
+    fn capacity(&self, now: Duration, service: &str) -> Capacity {
+        let keys = self.directory.for_service(service).iter();
+        let targets = keys.filter_map(|key| self.directory.get(*key));
+        let mut capacity = Capacity {
+            share: self.demand_share(now, service),
+            ..Capacity::default()
+        };
+        for target in targets.filter(|t| !t.health.is_suspect(now)) {
+            let slots = match now < target.cold_until {
+                true => f64::from(target.entry.slots) * COLD_PART,
+                false => f64::from(target.entry.slots),
+            };
+            let others = self.domain_load.target(now, target.entry.id);
+            let others = others.map_or(0.0, |load| load.in_flight);
+            let in_flight = f64::from(target.load.in_flight) + others;
+            capacity.slots += slots;
+            capacity.has_room |= in_flight < slots * self.cfg.overload.max_service_times;
+        }
+        // Without a usable target the last resort decides.
+        capacity.has_room |= capacity.slots == 0.0;
+        capacity
+    }
+
+    /// Part of the failure domain's demand for a service that reaches this balancer;
+    /// 1 if the demand of the others is unknown.
+    fn demand_share(&self, now: Duration, service: &str) -> f64 {
+        let others = self.domain_load.service(now, service);
+        let own = self.overload.demand(service);
+        let (Some(others), Some(own)) = (others, own) else {
+            return 1.0;
+        };
+        let sum = |demand: &[PriorityDemand]| -> f64 {
+            let requests = demand.iter().map(|d| d.flows_per_s + d.requests_per_s);
+            requests.sum()
+        };
+        let (own, others) = (sum(&own), sum(&others.demand));
+        if own > 0.0 { own / (own + others) } else { 1.0 }
     }
 
     /// Handles a SYN that the network delivered twice.
--- a/crates/cookie/src/effects.rs
+++ b/crates/cookie/src/effects.rs
@@ -43,7 +43,7 @@
 }
 
 /// Side effects to carry out now.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Effects {
     /// Targets that became suspect.
     pub suspicions: Vec<Suspicion>,
--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -64,6 +64,12 @@
         };
         target.health.record_response(now);
         self.attempts.record_response(&seg.flow);
+        if !flow.open && flow.syn_retransmits == 0 {
+            let time = now.saturating_sub(flow.sent_at);
+            let service = &target.entry.service;
+            self.overload
+                .record_handshake(&self.cfg.overload, service, time);
+        }
         // Retransmitted requests are not sampled: the first copy may have been lost
         // (Karn's algorithm).
         let timed = flow.busy && !flow.stalled;
@@ -93,6 +99,11 @@
         };
         self.attempts.record_sent(now, seg.flow, flow.target);
         self.flows.record_request(now, seg.flow);
+        if let Some(route) = self.routes.get(seg.flow.route).filter(|_| !flow.busy) {
+            let service = &target.entry.service;
+            self.overload
+                .record_request(&self.cfg.overload, service, route, flow.seq == 0);
+        }
         target.load.mark_in_flight(flow);
         flow.seq = seg.seq;
         flow.sent_at = now;
--- a/crates/cookie/src/overload.rs
+++ b/crates/cookie/src/overload.rs
@@ -12,29 +12,50 @@
 //! that share the targets reach similar limits without telling each other. Since the
 //! limit counts requests in flight, refusals end as soon as responses arrive or the
 //! load ends.
+//!
+//! A service whose routes differ in priority is limited by [`admission`] instead, from
+//! demand against capacity and the queues at its targets.
 
+mod admission;
+mod demand;
+mod ladder;
 mod latency;
+mod lottery;
+mod order;
 mod priorities;
+mod queueing;
 mod service;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use hashbrown::HashMap;
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use hashbrown::{HashMap, HashSet};
 
+use admission::Admission;
 pub(crate) use latency::ResponseSample;
 use service::ServiceLoad;
 
-use crate::OverloadConfig;
+use crate::{Manifest, OverloadConfig, PriorityDemand, Route};
 
 /// Start, state or end of refusals for a service; logged.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct OverloadChange {
     /// The service.
     pub service: Arc<str>,
-    /// Limit on its requests in flight through this balancer; `None` if it is no
-    /// longer overloaded.
+    /// Limit on its requests in flight through this balancer; `None` if it has none.
     pub limit: Option<u32>,
+    /// Requests per second that this balancer may send to its targets; `None` if all
+    /// fit, or if its routes don't differ in priority.
+    pub budget_per_s: Option<u32>,
+    /// Requests per second that the usable slots can process for all balancers; `None`
+    /// before enough responses were seen.
+    pub slots_per_s: Option<u32>,
+    /// Demand by priority through this balancer, the most urgent first; empty if its
+    /// routes don't differ in priority.
+    pub demand: Vec<PriorityDemand>,
     /// Requests in flight when it was last checked.
     pub in_flight: u32,
     /// Responses per second in the last interval.
@@ -45,13 +66,101 @@
     pub refused: u32,
 }
 
+impl OverloadChange {
+    /// Whether the service is no longer overloaded.
+    pub fn has_ended(&self) -> bool {
+        self.limit.is_none() && self.budget_per_s.is_none()
+    }
+}
+
+/// Room at the targets of a service that are neither silent nor suspect.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Capacity {
+    /// Their slots; those of cold targets count in part.
+    pub slots: f64,
+    /// Part of the known demand for them that reaches this balancer.
+    pub share: f64,
+    /// Whether one of them has no more requests than its slots and a short queue.
+    pub has_room: bool,
+}
+
+/// A new flow of an overloaded service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NewFlow {
+    /// Priority of the route.
+    pub priority: u32,
+    /// Address of the client.
+    pub client: Ipv4Addr,
+    /// Requests of the service that are unanswered, through this balancer.
+    pub in_flight: u32,
+    /// Room at its targets.
+    pub capacity: Capacity,
+}
+
 /// Load of all services.
 #[derive(Debug, Default)]
 pub(crate) struct Overload {
     services: HashMap<Arc<str>, ServiceLoad>,
+    /// Services whose routes with a latency goal differ in priority.
+    by_priority: HashSet<Arc<str>>,
+    admissions: HashMap<Arc<str>, Admission>,
+    /// Time since the Unix epoch minus the monotonic time.
+    wall_offset: Duration,
 }
 
 impl Overload {
+    /// Finds the services whose routes differ in priority.
+    pub fn apply_manifest(&mut self, manifest: &Manifest) {
+        let mut priorities: BTreeMap<&Arc<str>, HashSet<u32>> = BTreeMap::new();
+        let routes = manifest.routes.iter();
+        for route in routes.filter(|r| r.latency_goal.is_some()) {
+            for share in &route.shares {
+                let used = priorities.entry(&share.service).or_default();
+                used.insert(route.priority);
+            }
+        }
+        let differ = priorities.into_iter().filter(|(_, used)| used.len() > 1);
+        self.by_priority = differ.map(|(service, _)| Arc::clone(service)).collect();
+        let by_priority = &self.by_priority;
+        self.admissions.retain(|s, _| by_priority.contains(s));
+    }
+
+    /// Sets the wall clock, which all balancers derive the same epochs from.
+    pub fn set_wall_clock(&mut self, now: Duration, wall: Duration) {
+        self.wall_offset = wall.saturating_sub(now);
+    }
+
+    fn uses_priorities(&self, cfg: &OverloadConfig, service: &str) -> bool {
+        cfg.by_priority && self.by_priority.contains(service)
+    }
+
+    fn admission(&mut self, cfg: &OverloadConfig, service: &Arc<str>) -> Option<&mut Admission> {
+        if !self.uses_priorities(cfg, service) {
+            return None;
+        }
+        Some(self.admissions.entry(Arc::clone(service)).or_default())
+    }
+
+    /// Records the time from a SYN to the client's next packet.
+    pub fn record_handshake(&mut self, cfg: &OverloadConfig, service: &Arc<str>, time: Duration) {
+        if let Some(admission) = self.admission(cfg, service) {
+            admission.record_handshake(time);
+        }
+    }
+
+    /// Counts a request; `first` if it is the first on its flow.
+    pub fn record_request(
+        &mut self,
+        cfg: &OverloadConfig,
+        service: &Arc<str>,
+        route: &Route,
+        first: bool,
+    ) {
+        if let Some(admission) = self.admission(cfg, service) {
+            admission.record_request(route.priority, first);
+        }
+    }
+
     /// Records a response to a request that was not retransmitted.
     pub fn record(
         &mut self,
@@ -62,22 +171,37 @@
     ) {
         let load = self.services.entry(Arc::clone(service)).or_default();
         load.record(cfg, now, sample);
+        if let Some(admission) = self.admission(cfg, service) {
+            admission.record_response(cfg, now, sample);
+        }
     }
 
-    /// Whether to accept a new flow while `in_flight` requests of the service are
-    /// unanswered.
+    /// Whether to accept a new flow.
     pub fn admits(
         &mut self,
         cfg: &OverloadConfig,
         now: Duration,
-        service: &str,
-        priority: u32,
-        in_flight: u32,
+        service: &Arc<str>,
+        flow: NewFlow,
     ) -> bool {
+        let wall = now + self.wall_offset;
+        let admitted = self
+            .admission(cfg, service)
+            .map(|admission| admission.admits(cfg, now, wall, flow));
         let Some(load) = self.services.get_mut(service) else {
-            return true;
+            return admitted.unwrap_or(true);
         };
-        load.admits(cfg, now, priority, in_flight)
+        match admitted {
+            Some(admitted) => load.record_decision(flow.in_flight, admitted),
+            None => load.admits(cfg, now, flow.priority, flow.in_flight),
+        }
+    }
+
+    /// Demand for a service by priority, the most urgent first; `None` if its routes
+    /// don't differ in priority.
+    pub fn demand(&self, service: &str) -> Option<Vec<PriorityDemand>> {
+        let admission = self.admissions.get(service)?;
+        Some(admission.demand().collect())
     }
 
     /// Limit on a service's requests in flight; `None` if it is not overloaded.
@@ -85,6 +209,12 @@
         self.services.get(service)?.limit_at(now)
     }
 
+    /// Requests per second that may be sent to the targets of a service; `None` while
+    /// all fit.
+    pub fn budget(&self, now: Duration, service: &str) -> Option<f64> {
+        self.admissions.get(service)?.budget_at(now)
+    }
+
     /// Whether a request with this latency goal that is unanswered for `age` takes
     /// many times as long as the service's fastest ones.
     pub fn is_abnormal(&self, service: &str, goal: Duration, age: Duration) -> bool {
@@ -95,10 +225,23 @@
     /// Returns the services that are overloaded, and those that no longer are since
     /// the last call.
     pub fn take_changes(&mut self, now: Duration) -> Vec<OverloadChange> {
-        let services = self.services.iter_mut();
-        services
-            .filter_map(|(service, load)| load.take_change(now, service))
-            .collect()
+        let admissions = &mut self.admissions;
+        let mut changes = Vec::new();
+        for (service, load) in &mut self.services {
+            let admission = admissions.get_mut(service);
+            let budget = admission.as_ref().and_then(|a| a.budget_at(now));
+            let Some(mut change) = load.take_change(now, service, budget.is_some()) else {
+                continue;
+            };
+            if let Some(admission) = admission {
+                change.limit = None;
+                change.budget_per_s = budget.map(|b| b.round() as u32);
+                change.slots_per_s = admission.slots_per_s().map(|s| s.round() as u32);
+                change.demand = admission.demand().collect();
+            }
+            changes.push(change);
+        }
+        changes
     }
 
     /// Discards responses that a pause of this process may have delayed.
@@ -106,5 +249,8 @@
         for load in self.services.values_mut() {
             load.reset();
         }
+        for admission in self.admissions.values_mut() {
+            admission.reset();
+        }
     }
 }
--- /dev/null
+++ b/crates/cookie/src/overload/admission.rs
@@ -0,0 +1,227 @@
+//! Admission of new flows from demand against capacity, for a service whose routes
+//! differ in priority.
+//!
+//! Load pattern: for some seconds clients offer several times what all targets can do,
+//! partly on long flows. The budget is the rate of requests that the targets answered:
+//! when they reject or delay requests, it falls at once to the part that was served;
+//! afterwards it rises slowly (AIMD, so that balancers that share the targets reach
+//! similar fractions). New flows get what requests on open flows leave. Since the
+//! budget is a rate, refusals end as soon as the demand fits into it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::demand::Demand;
+use super::ladder::fractions;
+use super::lottery;
+use super::order::PriorityOrder;
+use super::queueing::{Queueing, Queues};
+use super::{Capacity, NewFlow, ResponseSample};
+use crate::{OverloadConfig, PriorityDemand};
+
+/// Fraction of rejected requests up to which the targets' queues are short enough:
+/// retries of so few find room.
+const MAX_REJECTED: f64 = 0.04;
+/// Part of the served rate that the budget leaves free, so that queues drain.
+const DRAIN: f64 = 0.03;
+/// Factor on the budget after an interval of long queues without rejections.
+const DECREASE: f64 = 0.9;
+/// Fraction of the budget by which it rises per second.
+const RISE_OF_BUDGET: f64 = 0.05;
+/// Fraction of the demand by which it rises per second; equal fractions bring balancers
+/// together whose budgets differ.
+const RISE_OF_DEMAND: f64 = 0.02;
+/// Delay in proportion to what is allowed below which targets have free slots.
+const SHORT_DELAY: f64 = 0.5;
+/// Factor on the sent rate that the budget reaches while targets have free slots.
+const SHORT_DELAY_FACTOR: f64 = 1.25;
+/// Fraction of the budget below which the demand must fall for refusals to end within
+/// an epoch.
+const FITS_BELOW: f64 = 0.9;
+/// Factor by which a fraction must change to change within an epoch.
+const FRACTION_CHANGE: f64 = 0.9;
+/// Time without refusals after which the budget is forgotten.
+const BUDGET_RETENTION: Duration = Duration::from_secs(2);
+
+/// Admission of the new flows of one service.
+#[derive(Debug, Default)]
+pub(super) struct Admission {
+    demand: Demand,
+    queueing: Queueing,
+    order: PriorityOrder,
+    interval_start: Duration,
+    /// Requests per second that may be sent to targets; `None` while all fit.
+    budget: Option<f64>,
+    /// When the budget was last lowered; responses to earlier requests say nothing
+    /// about it.
+    lowered_at: Duration,
+    /// When the budget last refused a part of the demand.
+    refused_at: Duration,
+    /// Delay of the last interval.
+    last_delay: f64,
+    fractions: BTreeMap<u32, f64>,
+    epoch: u64,
+    /// Room at the targets when the last flow was decided.
+    capacity: Capacity,
+}
+
+impl Admission {
+    /// Counts a request; `first` if it is the first on its flow.
+    pub fn record_request(&mut self, priority: u32, first: bool) {
+        if !first {
+            self.demand.record_open(priority);
+        }
+    }
+
+    /// Records the time from a SYN to the client's next packet.
+    pub fn record_handshake(&mut self, time: Duration) {
+        self.queueing.record_handshake(time, self.budget.is_some());
+    }
+
+    /// Records a response.
+    pub fn record_response(&mut self, cfg: &OverloadConfig, now: Duration, sample: ResponseSample) {
+        if now < self.lowered_at + sample.latency {
+            return;
+        }
+        let overloaded = self.budget.is_some();
+        self.queueing
+            .record_response(sample, cfg.goal_fraction, cfg.max_service_times, overloaded);
+    }
+
+    /// Whether to accept the first SYN of a flow.
+    pub fn admits(
+        &mut self,
+        cfg: &OverloadConfig,
+        now: Duration,
+        wall: Duration,
+        flow: NewFlow,
+    ) -> bool {
+        self.capacity = flow.capacity;
+        self.update(cfg, now, wall);
+        let fraction = self.fractions.get(&flow.priority);
+        let chosen = fraction.is_none_or(|f| lottery::rank(cfg.key, flow.client, self.epoch) < *f);
+        let wanted = chosen && flow.capacity.has_room;
+        let admitted = self.order.enforce(flow.priority, wanted);
+        self.demand.record_attempt(flow.priority, admitted);
+        admitted
+    }
+
+    /// Ends the interval if it is over.
+    fn update(&mut self, cfg: &OverloadConfig, now: Duration, wall: Duration) {
+        let elapsed = now.saturating_sub(self.interval_start);
+        if elapsed < cfg.interval {
+            return;
+        }
+        self.interval_start = now;
+        self.order = PriorityOrder::default();
+        let fractions = &self.fractions;
+        let fraction = |priority| fractions.get(&priority).copied().unwrap_or(1.0);
+        self.demand.finish_interval(elapsed, fraction);
+        if self.queueing.len() >= cfg.min_responses
+            && let Some(queues) = self.queueing.finish_interval(self.budget.is_some())
+        {
+            self.follow_queues(now, queues);
+        }
+        self.raise_budget(elapsed);
+        self.bound_budget();
+        let epoch = lottery::epoch_at(wall, cfg.epoch);
+        self.update_fractions(now, epoch);
+    }
+
+    /// Lowers the budget if the targets reject requests or delay them too long.
+    fn follow_queues(&mut self, now: Duration, queues: Queues) {
+        let sent = self.demand.sent();
+        let growing = queues.delay >= self.last_delay;
+        self.last_delay = queues.delay;
+        let served = if queues.rejected > MAX_REJECTED {
+            sent * (1.0 - queues.rejected) * (1.0 - DRAIN)
+        } else if queues.delay > 1.0 && growing {
+            sent * DECREASE
+        } else {
+            if queues.delay < SHORT_DELAY {
+                let least = sent * SHORT_DELAY_FACTOR;
+                self.budget = self.budget.map(|budget| budget.max(least));
+            }
+            return;
+        };
+        self.budget = Some(served);
+        self.lowered_at = now;
+        self.queueing.clear();
+    }
+
+    fn raise_budget(&mut self, elapsed: Duration) {
+        let rise = self.demand.offered() * RISE_OF_DEMAND;
+        if let Some(budget) = &mut self.budget {
+            *budget += (*budget * RISE_OF_BUDGET + rise) * elapsed.as_secs_f64();
+        }
+    }
+
+    /// Keeps the budget within what the slots can do even if only this balancer, or
+    /// those that it hears of, sent requests: queues need not build up to show that.
+    fn bound_budget(&mut self) {
+        let Some(service_time) = self.queueing.service_time() else {
+            return;
+        };
+        let bound = self.capacity.slots * self.capacity.share / service_time;
+        if bound > 0.0 && self.demand.offered() > bound {
+            self.budget = Some(self.budget.map_or(bound, |budget| budget.min(bound)));
+        }
+    }
+
+    /// Within an epoch fractions only fall, unless the demand fits again, so that a
+    /// refused client stays refused.
+    fn update_fractions(&mut self, now: Duration, epoch: u64) {
+        let offered = self.demand.offered();
+        let Some(budget) = self.budget else {
+            self.fractions.clear();
+            return;
+        };
+        if offered > budget {
+            self.refused_at = now;
+        } else if now >= self.refused_at + BUDGET_RETENTION {
+            self.budget = None;
+        }
+        let wanted = fractions(budget, self.demand.rates());
+        let new_epoch = epoch != self.epoch;
+        if new_epoch || offered < budget * FITS_BELOW {
+            self.epoch = epoch;
+            self.fractions = wanted;
+            return;
+        }
+        for (priority, fraction) in wanted {
+            let current = self.fractions.entry(priority).or_insert(1.0);
+            if fraction < *current * FRACTION_CHANGE {
+                *current = fraction;
+            }
+        }
+    }
+
+    /// Requests per second that may be sent to targets; `None` while all fit.
+    pub fn budget_at(&self, now: Duration) -> Option<f64> {
+        let known = now < self.interval_start + BUDGET_RETENTION;
+        self.budget.filter(|_| known)
+    }
+
+    /// Requests per second that the usable slots can process for all balancers.
+    pub fn slots_per_s(&self) -> Option<f64> {
+        Some(self.capacity.slots / self.queueing.service_time()?)
+    }
+
+    /// Demand by priority, the most urgent first.
+    pub fn demand(&self) -> impl Iterator<Item = PriorityDemand> {
+        let rates = self.demand.rates();
+        rates.map(|(priority, rates)| PriorityDemand {
+            priority,
+            flows_per_s: rates.first,
+            requests_per_s: rates.open,
+            refused_per_s: rates.refused,
+        })
+    }
+
+    /// Discards what a pause of this process may have delayed.
+    pub fn reset(&mut self) {
+        self.queueing.clear();
+        self.budget = None;
+        self.fractions.clear();
+    }
+}
--- /dev/null
+++ b/crates/cookie/src/overload/queueing.rs
@@ -0,0 +1,149 @@
+//! What the responses of a service say about the queues at its targets.
+//!
+//! Load pattern: targets with short queues reject what does not fit at once. Their
+//! rejections are quick responses, so the median latency falls while most requests
+//! fail. Latencies are therefore related to the path, which handshakes show, and to the
+//! service time, which unloaded responses show: a response without service time is a
+//! rejection, and one of several service times has waited.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::ResponseSample;
+
+/// Number of samples whose median updates a baseline.
+const BASELINE_BATCH: usize = 16;
+/// Weight of a batch that is slower than the baseline; a faster one replaces it.
+const SLOWER_WEIGHT: f64 = 0.1;
+/// Fraction of the median service time below which a response is a rejection.
+const REJECTED_BELOW: f64 = 0.25;
+/// Weight of an interval in the usual fraction of quick responses.
+const QUICK_WEIGHT: f64 = 0.1;
+/// Service times of a response above which a goal is not allowed to lower the limit:
+/// itself, and a request in front of it.
+const MIN_SERVICE_TIMES: f64 = 2.0;
+
+/// Median of samples taken while there is no overload, in seconds.
+#[derive(Clone, Debug, Default)]
+struct Baseline {
+    median: Option<f64>,
+    batch: Vec<f64>,
+}
+
+impl Baseline {
+    fn record(&mut self, sample: f64) {
+        self.batch.push(sample);
+        if self.batch.len() < BASELINE_BATCH {
+            return;
+        }
+        let median = median(&mut self.batch);
+        self.batch.clear();
+        self.median = Some(match self.median {
+            Some(old) if median > old => old + (median - old) * SLOWER_WEIGHT,
+            _ => median,
+        });
+    }
+}
+
+/// State of the targets' queues in one interval.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Queues {
+    /// Fraction of the requests that targets rejected.
+    pub rejected: f64,
+    /// Median latency in proportion to what is allowed.
+    pub delay: f64,
+}
+
+/// Response times of one service.
+#[derive(Debug, Default)]
+pub(super) struct Queueing {
+    path: Baseline,
+    latencies: BTreeMap<u32, Baseline>,
+    /// Fraction of responses that are quick without overload.
+    usual_quick: f64,
+    /// Responses of this interval, in service times.
+    service_times: Vec<f64>,
+    /// Responses of this interval in proportion to what is allowed.
+    delays: Vec<f64>,
+}
+
+impl Queueing {
+    /// Records the time from a SYN to the client's next packet.
+    pub fn record_handshake(&mut self, time: Duration, overloaded: bool) {
+        if !overloaded {
+            self.path.record(time.as_secs_f64());
+        }
+    }
+
+    /// Records a response. `max_service_times` is what one may take, the time in the
+    /// target's queue included.
+    pub fn record_response(
+        &mut self,
+        sample: ResponseSample,
+        goal_fraction: f64,
+        max_service_times: f64,
+        overloaded: bool,
+    ) {
+        let latency = sample.latency.as_secs_f64();
+        let baseline = self.latencies.entry(sample.priority).or_default();
+        if !overloaded {
+            baseline.record(latency);
+        }
+        let Some(median) = baseline.median else {
+            return;
+        };
+        let path = self.path.median.unwrap_or_default().min(median);
+        let service_time = (median - path).max(f64::EPSILON);
+        let goal = sample.goal.as_secs_f64() * goal_fraction;
+        let least = path + service_time * MIN_SERVICE_TIMES;
+        let most = path + service_time * max_service_times;
+        self.service_times.push((latency - path) / service_time);
+        self.delays.push(latency / goal.clamp(least, most));
+    }
+
+    /// Number of responses in this interval.
+    pub fn len(&self) -> usize {
+        self.delays.len()
+    }
+
+    /// Forgets the responses of this interval.
+    pub fn clear(&mut self) {
+        self.service_times.clear();
+        self.delays.clear();
+    }
+
+    /// Service time of the usual response in seconds, all priorities together.
+    pub fn service_time(&self) -> Option<f64> {
+        let path = self.path.median?;
+        let medians = self.latencies.values().filter_map(|b| b.median);
+        let least = medians.reduce(f64::min)?;
+        (least > path).then_some(least - path)
+    }
+
+    /// Ends an interval; `None` if it had no responses.
+    pub fn finish_interval(&mut self, overloaded: bool) -> Option<Queues> {
+        if self.delays.is_empty() {
+            return None;
+        }
+        let count = self.service_times.len() as f64;
+        let quick = self.service_times.iter().filter(|x| **x < REJECTED_BELOW);
+        let quick = quick.count() as f64 / count;
+        let deviation = (quick * (1.0 - quick) / count).sqrt();
+        let excess = (quick - self.usual_quick) / (1.0 - self.usual_quick).max(f64::EPSILON);
+        let delay = median(&mut self.delays);
+        self.clear();
+        if !overloaded && excess <= 2.0 * deviation {
+            self.usual_quick += (quick - self.usual_quick) * QUICK_WEIGHT;
+        }
+        Some(Queues {
+            rejected: (excess - deviation).max(0.0),
+            delay,
+        })
+    }
+}
+
+fn median(samples: &mut [f64]) -> f64 {
+    let middle = samples.len() / 2;
+    let (_, median, _) = samples.select_nth_unstable_by(middle, f64::total_cmp);
+    *median
+}
--- a/crates/cookie/src/overload/service.rs
+++ b/crates/cookie/src/overload/service.rs
@@ -68,6 +68,12 @@
             };
             f64::from(in_flight) < limit
         });
+        self.record_decision(in_flight, admitted)
+    }
+
+    /// Counts a decision that was made elsewhere; returns it.
+    pub fn record_decision(&mut self, in_flight: u32, admitted: bool) -> bool {
+        self.in_flight = in_flight;
         match admitted {
             true => self.accepted += 1,
             false => self.refused += 1,
@@ -134,16 +140,25 @@
     }
 
     /// Returns what happened since the last call if the service is overloaded or has
-    /// just ceased to be.
-    pub fn take_change(&mut self, now: Duration, service: &Arc<str>) -> Option<OverloadChange> {
+    /// just ceased to be; `has_budget` says that its budget refuses new flows.
+    pub fn take_change(
+        &mut self,
+        now: Duration,
+        service: &Arc<str>,
+        has_budget: bool,
+    ) -> Option<OverloadChange> {
         let limit = self.limit_at(now);
         let refused = std::mem::take(&mut self.refused);
         let accepted = std::mem::take(&mut self.accepted);
-        let overloaded = limit.is_some() && (refused > 0 || self.reported);
+        let limited = limit.is_some() || has_budget;
+        let overloaded = limited && (refused > 0 || self.reported);
         let was_reported = std::mem::replace(&mut self.reported, overloaded);
         (was_reported || overloaded).then(|| OverloadChange {
             service: Arc::clone(service),
             limit,
+            budget_per_s: None,
+            slots_per_s: None,
+            demand: Vec::new(),
             in_flight: self.in_flight,
             responses_per_s: self.responses_per_s.round() as u32,
             accepted,
--- a/crates/cookie/src/overload_config.rs
+++ b/crates/cookie/src/overload_config.rs
@@ -22,6 +22,17 @@
     pub min_limit: u32,
     /// Factor on the limit for the most urgent route of a service.
     pub urgent_factor: f64,
+    /// Whether a service whose routes differ in priority is limited by its demand
+    /// against its capacity, the least urgent first, instead of by requests in flight.
+    pub by_priority: bool,
+    /// Time that a response may take in multiples of the service time, the time in the
+    /// target's queue included, even if its goal allows more: targets reject what
+    /// exceeds a short queue.
+    pub max_service_times: f64,
+    /// Time for which a refused client stays refused; then others are.
+    pub epoch: Duration,
+    /// Key of the order in which clients are refused; the same on all balancers.
+    pub key: u64,
 }
 
 impl Default for OverloadConfig {
@@ -34,6 +45,10 @@
             slow_intervals: 2,
             min_limit: 2,
             urgent_factor: 1.25,
+            by_priority: true,
+            max_service_times: 4.0,
+            epoch: Duration::from_secs(1),
+            key: 0,
         }
     }
 }
--- a/crates/cookie/tests/common/replay.rs
+++ b/crates/cookie/tests/common/replay.rs
@@ -1,6 +1,7 @@
 //! Clients and targets with few slots and short queues, simulated event by event.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 use sequoiatrail_cookie::{
@@ -23,13 +24,17 @@
 const REQUESTS_PER_FLOW: u32 = 3;
 const MAX_ATTEMPTS: u32 = 3;
 const RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Requests per second that all targets together can process.
-const CAPACITY_RPS: f64 = (TARGETS as usize * SLOTS) as f64 / 0.030;
+/// Requests per second that a target can process.
+const TARGET_RPS: f64 = SLOTS as f64 / 0.030;
+/// Number of client addresses; each opens a flow now and then.
+const USERS: u16 = 1_000;
 
 /// State of a client's flow.
 #[derive(Clone, Copy)]
 struct Session {
     client: u16,
+    /// Address of the client; the same for all attempts.
+    user: u16,
     port: u16,
     cookie: Cookie,
     /// Requests completed on this flow.
@@ -61,6 +66,16 @@
     pub given_up: u32,
 }
 
+/// Decision on the first SYN of a flow.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt {
+    pub at: Duration,
+    pub balancer: usize,
+    pub user: u16,
+    pub port: u16,
+    pub admitted: bool,
+}
+
 /// Clients and targets, with balancers that each see their share of the flows.
 pub struct Replay {
     pub sims: Vec<Sim>,
@@ -68,14 +83,22 @@
     events: BTreeMap<(Duration, u64), (Session, Event)>,
     servers: BTreeMap<TargetId, Server>,
     pub counts: BTreeMap<u16, Counts>,
+    pub attempts: Vec<Attempt>,
+    /// Requests that targets rejected.
+    pub rejected: u32,
+    targets: u64,
     next_client: u16,
     sequence: u64,
 }
 
 impl Replay {
     pub fn new(balancers: usize, overload: OverloadConfig) -> Replay {
+        Replay::with_targets(balancers, TARGETS, overload)
+    }
+
+    pub fn with_targets(balancers: usize, targets: u64, overload: OverloadConfig) -> Replay {
         let sims = std::iter::repeat_with(|| {
-            let mut sim = Sim::new(TARGETS, 0);
+            let mut sim = Sim::new(targets, 0);
             sim.balancer.configure(Config {
                 domain: "a".into(),
                 overload,
@@ -90,17 +113,38 @@
             events: BTreeMap::new(),
             servers: BTreeMap::new(),
             counts: BTreeMap::new(),
+            attempts: Vec::new(),
+            rejected: 0,
+            targets,
             next_client: 1,
             sequence: 0,
         }
     }
 
-    /// Decides on a packet at the balancer that its client's packets go to.
-    fn decide(&mut self, seg: Segment) -> Decision {
-        let balancer = usize::from(seg.flow.client.port()) % self.sims.len();
+    /// Decides on a packet at the balancer that its flow's packets go to.
+    fn decide(&mut self, user: u16, mut seg: Segment) -> Decision {
+        let port = seg.flow.client.port();
+        let [high, low] = user.to_be_bytes();
+        seg.flow.client = SocketAddrV4::new(Ipv4Addr::new(100, 65, high, low), port);
+        let balancer = usize::from(port) % self.sims.len();
         let sim = &mut self.sims[balancer];
         sim.now = self.now;
-        sim.decide(seg)
+        let decision = sim.decide(seg);
+        if seg.flags.syn {
+            self.attempts.push(Attempt {
+                at: self.now,
+                balancer,
+                user,
+                port: seg.flow.route.port(),
+                admitted: decision != Decision::Reset(ResetReason::Overloaded),
+            });
+        }
+        decision
+    }
+
+    /// Requests per second that all targets together can process.
+    pub fn capacity(&self) -> f64 {
+        self.targets as f64 * TARGET_RPS
     }
 
     /// Lets all balancers report their state.
@@ -122,7 +166,7 @@
     /// Runs evenly spaced clients that generate `load_factor` times the capacity.
     pub fn run_load(&mut self, load_factor: f64, time: Duration, ports: &[u16]) {
         let begin = self.now;
-        let flows = CAPACITY_RPS * load_factor / f64::from(REQUESTS_PER_FLOW);
+        let flows = self.capacity() * load_factor / f64::from(REQUESTS_PER_FLOW);
         let count = (flows * time.as_secs_f64()) as u32;
         for n in 0..count {
             let at = begin + time * n / count;
@@ -140,9 +184,10 @@
     }
 
     fn session(&mut self, port: u16, requested_at: Duration) -> Session {
-        self.next_client += 1;
+        self.next_client = self.next_client.wrapping_add(1);
         Session {
             client: self.next_client,
+            user: self.next_client % USERS,
             port,
             cookie: Cookie(0),
             completed: 0,
@@ -162,7 +207,7 @@
 
     fn open(&mut self, mut session: Session) {
         let now = self.now;
-        let decision = self.decide(syn(session.client, session.port, 0));
+        let decision = self.decide(session.user, syn(session.client, session.port, 0));
         if decision == Decision::Reset(ResetReason::Overloaded) {
             return self.retry(session);
         }
@@ -179,7 +224,7 @@
             session.completed + 1,
             session.completed + 1,
         );
-        forwarded(self.decide(seg));
+        forwarded(self.decide(session.user, seg));
         let now = self.now;
         let server = self.servers.entry(target).or_default();
         if server.active < SLOTS {
@@ -189,12 +234,14 @@
         if server.queue.len() < QUEUE_LEN {
             return server.queue.push_back(session);
         }
-        self.decide(ack(
+        self.rejected += 1;
+        let seg = ack(
             session.client,
             session.port,
             session.cookie,
             session.completed + 2,
-        ));
+        );
+        self.decide(session.user, seg);
         self.retry(session);
     }
 
@@ -216,7 +263,7 @@
             session.cookie,
             session.completed + 1,
         );
-        forwarded(self.decide(seg));
+        forwarded(self.decide(session.user, seg));
         let now = self.now;
         let counts = self.counts.entry(session.port).or_default();
         match now - session.requested_at < LATENCY_GOAL {
@@ -239,6 +286,7 @@
         let again = Session {
             attempt: session.attempt + 1,
             completed: 0,
+            user: session.user,
             ..self.session(session.port, session.requested_at)
         };
         let now = self.now;
--- a/crates/daemon/src/cookie/egress.rs
+++ b/crates/daemon/src/cookie/egress.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use sequoiatrail_adapter::encode_reset;
-use sequoiatrail_cookie::{Effects, FlowId, PlaceReason, ResetReason, Suspicion, TargetId};
+use sequoiatrail_cookie::{
+    Effects, FlowId, PlaceReason, PriorityDemand, ResetReason, Suspicion, TargetId,
+};
 use sequoiatrail_events::Event;
 
 use super::prober::Prober;
@@ -58,6 +60,9 @@
             self.shared.log.emit(Event::ServiceOverloaded {
                 service: change.service.to_string(),
                 limit: change.limit,
+                budget_per_s: change.budget_per_s,
+                slots_per_s: change.slots_per_s,
+                demand: demand_text(&change.demand),
                 in_flight: change.in_flight,
                 responses_per_s: change.responses_per_s,
                 accepted: change.accepted,
@@ -143,3 +148,14 @@
         });
     }
 }
+
+/// Demand by priority for the log.
+fn demand_text(demand: &[PriorityDemand]) -> String {
+    let texts = demand.iter().map(|d| {
+        format!(
+            "priority {}: {:.0} flows, {:.0} requests, {:.0} refused",
+            d.priority, d.flows_per_s, d.requests_per_s, d.refused_per_s
+        )
+    });
+    texts.collect::<Vec<_>>().join("; ")
+}
--- a/crates/daemon/src/cookie/packets.rs
+++ b/crates/daemon/src/cookie/packets.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use sequoiatrail_adapter::{PREFIX_BYTES, decode_packet, prefix, write_cookie};
 use sequoiatrail_cookie::{
@@ -174,6 +174,7 @@
         self.last_sweep = now;
         let (events, revision, effects) = {
             let mut balancer = self.shared.lock();
+            balancer.set_wall_clock(now, wall_clock());
             let events = balancer.sweep(now);
             (
                 events,
@@ -185,3 +186,9 @@
         self.egress.apply_effects(now, effects);
     }
 }
+
+/// Time since the Unix epoch; zero if the clock is set to an earlier time.
+fn wall_clock() -> Duration {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.unwrap_or_default()
+}
--- a/crates/daemon/src/cookie/start.rs
+++ b/crates/daemon/src/cookie/start.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use sequoiatrail_adapter::Kind;
-use sequoiatrail_cookie::{Balancer, Config, PeerInfo, Peers, PeersConfig, TargetId};
+use sequoiatrail_cookie::{
+    Balancer, Config, OverloadConfig, PeerInfo, Peers, PeersConfig, TargetId,
+};
 use sequoiatrail_events::{Event, Log};
 use sequoiatrail_settings::Settings;
 use sequoiatrail_types::{Clock, SystemClock};
@@ -224,6 +226,20 @@
         domain: Arc::from(settings.cookie.failure_domain.as_str()),
         flow_max_age: Duration::from_secs_f64(settings.cookie.flow_max_age_s),
         max_flows: settings.data.max_flows,
+        overload: OverloadConfig {
+            key: admission_key(settings),
+            ..OverloadConfig::default()
+        },
         ..Config::default()
     }
 }
+
+/// Key of the order in which clients are refused, derived from the key that all
+/// balancers share; 0 without one.
+fn admission_key(settings: &Settings) -> u64 {
+    let Ok(key) = Key::new(settings.peers.key.as_bytes()) else {
+        return 0;
+    };
+    let tag = key.tag(&[b"admission"]);
+    u64::from_be_bytes(std::array::from_fn(|n| tag[n]))
+}
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -388,12 +388,18 @@
         /// Events of this kind suppressed by the rate limit since the previous line.
         skipped: u64,
     }
-    /// Responses of a service exceed its latency goal, so its new flows are limited; reported twice a second until this ends.
+    /// A service has more demand than its targets can serve in time, so its new flows are limited; reported twice a second until this ends.
     719 Warning ServiceOverloaded {
         /// Service name.
         service: String,
-        /// Limit on its requests in flight through this balancer; none when the overload has ended.
+        /// Limit on its requests in flight through this balancer; none when the overload has ended, or if its routes differ in priority.
         limit: Option<u32>,
+        /// Requests per second that this balancer may send to its targets, if its routes differ in priority; none when the overload has ended.
+        budget_per_s: Option<u32>,
+        /// Requests per second that the slots of its usable targets can process for all balancers, if known.
+        slots_per_s: Option<u32>,
+        /// Demand through this balancer by priority, most urgent first: new flows, requests on open flows and refusals per second.
+        demand: String,
         /// Its requests in flight when the last flow was accepted or refused.
         in_flight: u32,
         /// Responses per second in the last interval.
