--- a/crates/cookie/src/decide.rs
+++ b/crates/cookie/src/decide.rs
@@ -6,20 +6,30 @@
 
 use crate::decision::{Decision, DropReason, PlaceReason, ResetReason};
 use crate::flows::Flow;
-use crate::overload::{Capacity, NewFlow};
+use crate::overload::{Capacity, NewFlow, offered_per_s};
 use crate::presence::Target;
 use crate::silence::probe_if_suspect;
-use crate::{
-    Balancer, Candidate, Cookie, FlowId, PriorityDemand, Route, Segment, Suspicion, TargetKey,
-    choose,
-};
+use crate::{Balancer, Candidate, Cookie, FlowId, Route, Segment, Suspicion, TargetKey, choose};
 
 /// Part of a cold target's slots that counts as capacity; it takes about twice as long.
 const COLD_PART: f64 = 0.5;
+/// Part of a service's slots that counts as usable whatever the targets look like.
+const MIN_USABLE_PART: f64 = 0.5;
 
 impl Balancer {
     /// Decides what to do with a client's packet.
     pub fn decide(&mut self, now: Duration, seg: &Segment) -> Decision {
+        let decision = self.decide_packet(now, seg);
+        let cfg = &self.cfg.overload;
+        match decision {
+            Decision::Forward { .. } => self.overload.record_packet(cfg, seg.data_len),
+            Decision::Reset(_) => self.overload.record_packet(cfg, 0),
+            Decision::Drop(_) => {}
+        }
+        decision
+    }
+
+    fn decide_packet(&mut self, now: Duration, seg: &Segment) -> Decision {
         if !self.is_ready() {
             return Decision::Drop(DropReason::NotReady);
         }
@@ -37,6 +47,7 @@
         let Some(route) = self.routes.get(seg.flow.route) else {
             return reset(seg, ResetReason::NoRoute);
         };
+        let priority = route.priority;
         let service = self.select_service(&seg.flow, route);
         let known = self.flows.get(&seg.flow);
         let outdated = seg.ack > 0 && known.is_some_and(|flow| flow.open || flow.closed);
@@ -59,7 +70,11 @@
         }
         // A retransmitted SYN is never refused: an earlier one may have opened the flow.
         let first = seg.ack == 0 && existing.is_none();
+        if first {
+            self.own_load.rates.record_flow(now, &service, priority);
+        }
         if first && !self.admits(now, &service, seg) {
+            self.own_load.rates.record_refusal(now, &service, priority);
             return reset(seg, ResetReason::Overloaded);
         }
         let avoid = match existing.filter(|_| retransmit) {
@@ -67,6 +82,9 @@
             None => self.attempts.failed_target(now, &seg.flow),
         };
         let Some(key) = self.place(now, &service, avoid) else {
+            if first {
+                self.own_load.rates.record_refusal(now, &service, priority);
+            }
             return reset(seg, ResetReason::NoTarget);
         };
         self.start_flow(now, seg, key);
@@ -83,58 +101,56 @@
         let Some(route) = self.routes.get(seg.flow.route) else {
             return true;
         };
-        let keys = self.directory.for_service(service).iter();
-        let usable = keys.filter_map(|key| self.directory.get(*key));
-        let usable = usable.filter(|target| !target.health.is_suspect(now));
-        let in_flight = usable.map(|target| target.load.in_flight).sum();
+        let cfg = &self.cfg.overload;
+        if self.overload.is_due(cfg, now, service) {
+            let capacity = self.capacity(now, service);
+            self.overload.update(cfg, now, service, capacity);
+        }
         let flow = NewFlow {
             priority: route.priority,
             client: *seg.flow.client.ip(),
-            in_flight,
-            capacity: self.capacity(now, service),
+            in_flight: self.usable(now, service).map(|t| t.load.in_flight).sum(),
+            has_room: self.has_room(now, service),
         };
-        let cfg = &self.cfg.overload;
         self.overload.admits(cfg, now, service, flow)
     }
 
-    /// Room at the targets of a service that accept new flows.
-    fn capacity(&self, now: Duration, service: &str) -> Capacity {
+    /// Targets of a service that accept new flows and are not suspect.
+    fn usable(&self, now: Duration, service: &str) -> impl Iterator<Item = &Target> {
         let keys = self.directory.for_service(service).iter();
         let targets = keys.filter_map(|key| self.directory.get(*key));
-        let mut capacity = Capacity {
-            share: self.demand_share(now, service),
-            ..Capacity::default()
-        };
-        for target in targets.filter(|t| !t.health.is_suspect(now)) {
-            let slots = match now < target.cold_until {
-                true => f64::from(target.entry.slots) * COLD_PART,
-                false => f64::from(target.entry.slots),
-            };
-            let others = self.domain_load.target(now, target.entry.id);
-            let others = others.map_or(0.0, |load| load.in_flight);
-            let in_flight = f64::from(target.load.in_flight) + others;
-            capacity.slots += slots;
-            capacity.has_room |= in_flight < slots * self.cfg.overload.max_service_times;
-        }
-        // Without a usable target the last resort decides.
-        capacity.has_room |= capacity.slots == 0.0;
-        capacity
+        targets.filter(move |target| !target.health.is_suspect(now))
     }
 
-    /// Part of the failure domain's demand for a service that reaches this balancer;
-    /// 1 if the demand of the others is unknown.
-    fn demand_share(&self, now: Duration, service: &str) -> f64 {
+    /// What the targets of a service can do.
+    fn capacity(&self, now: Duration, service: &str) -> Capacity {
+        let targets = self.usable(now, service);
+        let slots = targets.map(|t| usable_slots(now, t)).sum::<f64>();
+        // If most targets look suspect, the cause is likely this VM.
+        let listed = self.directory.for_service(service).iter();
+        let listed = listed.filter_map(|key| self.directory.get(*key));
+        let all = listed.map(|t| usable_slots(now, t)).sum::<f64>();
         let others = self.domain_load.service(now, service);
-        let own = self.overload.demand(service);
-        let (Some(others), Some(own)) = (others, own) else {
-            return 1.0;
-        };
-        let sum = |demand: &[PriorityDemand]| -> f64 {
-            let requests = demand.iter().map(|d| d.flows_per_s + d.requests_per_s);
-            requests.sum()
-        };
-        let (own, others) = (sum(&own), sum(&others.demand));
-        if own > 0.0 { own / (own + others) } else { 1.0 }
+        Capacity {
+            slots: slots.max(all * MIN_USABLE_PART),
+            flows: self.usable(now, service).map(|t| t.load.flows).sum(),
+            others_per_s: others.map_or(0.0, |totals| offered_per_s(&totals.demand)),
+            link_per_s: None,
+        }
+    }
+
+    /// Whether a target of the service has no more requests than its slots and a short
+    /// queue. Without a usable target the last resort decides.
+    fn has_room(&self, now: Duration, service: &str) -> bool {
+        let mut targets = self.usable(now, service).peekable();
+        targets.peek().is_none()
+            || targets.any(|target| {
+                let others = self.domain_load.target(now, target.entry.id);
+                let others = others.map_or(0.0, |load| load.in_flight);
+                let in_flight = f64::from(target.load.in_flight) + others;
+                let slots = f64::from(target.entry.slots);
+                in_flight < slots * self.cfg.overload.max_service_times
+            })
     }
 
     /// Handles a SYN that the network delivered twice.
@@ -257,6 +273,15 @@
     }
 }
 
+/// Slots of a target that count as capacity.
+fn usable_slots(now: Duration, target: &Target) -> f64 {
+    let slots = f64::from(target.entry.slots);
+    match now < target.cold_until {
+        true => slots * COLD_PART,
+        false => slots,
+    }
+}
+
 /// Never answers a reset by a reset.
 fn reset(seg: &Segment, reason: ResetReason) -> Decision {
     match seg.flags.rst {
--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -72,10 +72,16 @@
         }
         // Retransmitted requests are not sampled: the first copy may have been lost
         // (Karn's algorithm).
+        if flow.busy {
+            let rates = &mut self.own_load.rates;
+            rates.record_response(now, &target.entry.service);
+        }
         let timed = flow.busy && !flow.stalled;
         target.load.clear_request(flow);
         let route = self.routes.get(seg.flow.route).filter(|_| timed);
-        if let Some(sample) = route.and_then(|r| ResponseSample::new(r, now, flow.sent_at)) {
+        if let Some(sample) =
+            route.and_then(|r| ResponseSample::new(r, now, flow.sent_at, seg.flags.fin))
+        {
             let service = &target.entry.service;
             self.overload
                 .record(&self.cfg.overload, now, service, sample);
@@ -99,10 +105,15 @@
         };
         self.attempts.record_sent(now, seg.flow, flow.target);
         self.flows.record_request(now, seg.flow);
-        if let Some(route) = self.routes.get(seg.flow.route).filter(|_| !flow.busy) {
+        let route = self.routes.get(seg.flow.route);
+        // Further packets of a request find it unanswered.
+        if let Some(route) = route.filter(|_| !flow.busy) {
             let service = &target.entry.service;
-            self.overload
-                .record_request(&self.cfg.overload, service, route, flow.seq == 0);
+            let rates = &mut self.own_load.rates;
+            rates.record_request(now, service, route.priority);
+            let cfg = &self.cfg.overload;
+            let first = flow.seq == 0;
+            self.overload.record_request(cfg, service, route, first);
         }
         target.load.mark_in_flight(flow);
         flow.seq = seg.seq;
--- a/crates/cookie/src/overload.rs
+++ b/crates/cookie/src/overload.rs
@@ -20,6 +20,7 @@
 mod demand;
 mod ladder;
 mod latency;
+mod link;
 mod lottery;
 mod order;
 mod priorities;
@@ -36,10 +37,19 @@
 
 use admission::Admission;
 pub(crate) use latency::ResponseSample;
+use link::LinkUse;
 use service::ServiceLoad;
 
 use crate::{Manifest, OverloadConfig, PriorityDemand, Route};
 
+/// Requests that other balancers have, answered or not, per second.
+pub(crate) fn offered_per_s(demand: &[PriorityDemand]) -> f64 {
+    let requests = demand
+        .iter()
+        .map(|d| d.requests_per_s + d.refused_per_s / demand::ATTEMPTS);
+    requests.sum()
+}
+
 /// Start, state or end of refusals for a service; logged.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OverloadChange {
@@ -73,18 +83,21 @@
     }
 }
 
-/// Room at the targets of a service that are neither silent nor suspect.
+/// What the targets of a service and this VM can do, for one interval.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Capacity {
-    /// Their slots; those of cold targets count in part.
+    /// Slots of the targets that are neither silent nor suspect; those of cold targets
+    /// count in part.
     pub slots: f64,
-    /// Part of the known demand for them that reaches this balancer.
-    pub share: f64,
-    /// Whether one of them has no more requests than its slots and a short queue.
-    pub has_room: bool,
+    /// Flows to the targets through this balancer.
+    pub flows: u32,
+    /// Requests per second of the other balancers, as far as they are known.
+    pub others_per_s: f64,
+    /// Requests per second that this VM's link carries, if that is known.
+    pub link_per_s: Option<f64>,
 }
 
-/// A new flow of an overloaded service.
+/// A new flow of a service.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct NewFlow {
     /// Priority of the route.
@@ -93,8 +106,8 @@
     pub client: Ipv4Addr,
     /// Requests of the service that are unanswered, through this balancer.
     pub in_flight: u32,
-    /// Room at its targets.
-    pub capacity: Capacity,
+    /// Whether a target has no more requests than its slots and a short queue.
+    pub has_room: bool,
 }
 
 /// Load of all services.
@@ -106,6 +119,7 @@
     admissions: HashMap<Arc<str>, Admission>,
     /// Time since the Unix epoch minus the monotonic time.
     wall_offset: Duration,
+    link: LinkUse,
 }
 
 impl Overload {
@@ -156,11 +170,46 @@
         route: &Route,
         first: bool,
     ) {
+        self.link.record_request();
         if let Some(admission) = self.admission(cfg, service) {
             admission.record_request(route.priority, first);
         }
     }
 
+    /// Counts a packet that is sent with this much data.
+    pub fn record_packet(&mut self, cfg: &OverloadConfig, data_bytes: u16) {
+        let bytes = u64::from(cfg.packet_overhead_bytes) + u64::from(data_bytes);
+        self.link.record_packet(bytes);
+    }
+
+    /// Whether [`Overload::update`] is due before a new flow of the service.
+    pub fn is_due(&self, cfg: &OverloadConfig, now: Duration, service: &str) -> bool {
+        let admission = self.admissions.get(service);
+        self.uses_priorities(cfg, service) && admission.is_none_or(|a| a.is_due(cfg, now))
+    }
+
+    /// Ends an interval of a service whose routes differ in priority.
+    pub fn update(
+        &mut self,
+        cfg: &OverloadConfig,
+        now: Duration,
+        service: &Arc<str>,
+        capacity: Capacity,
+    ) {
+        self.link.update(now, cfg.interval);
+        let link_per_s = cfg
+            .link_bytes_per_s
+            .and_then(|capacity| self.link.requests_per_s(capacity));
+        let capacity = Capacity {
+            link_per_s,
+            ..capacity
+        };
+        let wall = now + self.wall_offset;
+        if let Some(admission) = self.admission(cfg, service) {
+            admission.update(cfg, now, wall, capacity);
+        }
+    }
+
     /// Records a response to a request that was not retransmitted.
     pub fn record(
         &mut self,
@@ -184,10 +233,9 @@
         service: &Arc<str>,
         flow: NewFlow,
     ) -> bool {
-        let wall = now + self.wall_offset;
         let admitted = self
             .admission(cfg, service)
-            .map(|admission| admission.admits(cfg, now, wall, flow));
+            .map(|admission| admission.admits(cfg, flow));
         let Some(load) = self.services.get_mut(service) else {
             return admitted.unwrap_or(true);
         };
@@ -197,13 +245,6 @@
         }
     }
 
-    /// Demand for a service by priority, the most urgent first; `None` if its routes
-    /// don't differ in priority.
-    pub fn demand(&self, service: &str) -> Option<Vec<PriorityDemand>> {
-        let admission = self.admissions.get(service)?;
-        Some(admission.demand().collect())
-    }
-
     /// Limit on a service's requests in flight; `None` if it is not overloaded.
     pub fn limit(&self, now: Duration, service: &str) -> Option<u32> {
         self.services.get(service)?.limit_at(now)
--- a/crates/cookie/src/overload/admission.rs
+++ b/crates/cookie/src/overload/admission.rs
@@ -24,8 +24,10 @@
 const MAX_REJECTED: f64 = 0.04;
 /// Part of the served rate that the budget leaves free, so that queues drain.
 const DRAIN: f64 = 0.03;
-/// Factor on the budget after an interval of long queues without rejections.
-const DECREASE: f64 = 0.9;
+/// Time within which queues that are too long are to drain.
+const DRAIN_TIME_S: f64 = 0.5;
+/// Smallest factor on the sent rate for queues to drain.
+const MIN_DRAIN: f64 = 0.6;
 /// Fraction of the budget by which it rises per second.
 const RISE_OF_BUDGET: f64 = 0.05;
 /// Fraction of the demand by which it rises per second; equal fractions bring balancers
@@ -89,30 +91,26 @@
     }
 
     /// Whether to accept the first SYN of a flow.
-    pub fn admits(
-        &mut self,
-        cfg: &OverloadConfig,
-        now: Duration,
-        wall: Duration,
-        flow: NewFlow,
-    ) -> bool {
-        self.capacity = flow.capacity;
-        self.update(cfg, now, wall);
+    pub fn admits(&mut self, cfg: &OverloadConfig, flow: NewFlow) -> bool {
         let fraction = self.fractions.get(&flow.priority);
         let chosen = fraction.is_none_or(|f| lottery::rank(cfg.key, flow.client, self.epoch) < *f);
-        let wanted = chosen && flow.capacity.has_room;
+        let wanted = chosen && flow.has_room;
         let admitted = self.order.enforce(flow.priority, wanted);
         self.demand.record_attempt(flow.priority, admitted);
         admitted
     }
 
-    /// Ends the interval if it is over.
-    fn update(&mut self, cfg: &OverloadConfig, now: Duration, wall: Duration) {
+    /// Ends the interval. `capacity` is that of the targets and of this VM.
+    pub fn update(
+        &mut self,
+        cfg: &OverloadConfig,
+        now: Duration,
+        wall: Duration,
+        capacity: Capacity,
+    ) {
         let elapsed = now.saturating_sub(self.interval_start);
-        if elapsed < cfg.interval {
-            return;
-        }
         self.interval_start = now;
+        self.capacity = capacity;
         self.order = PriorityOrder::default();
         let fractions = &self.fractions;
         let fraction = |priority| fractions.get(&priority).copied().unwrap_or(1.0);
@@ -125,7 +123,8 @@
         self.raise_budget(elapsed);
         self.bound_budget();
         let epoch = lottery::epoch_at(wall, cfg.epoch);
-        self.update_fractions(now, epoch);
+        let requests_per_flow = self.requests_per_flow(cfg);
+        self.update_fractions(now, epoch, requests_per_flow);
     }
 
     /// Lowers the budget if the targets reject requests or delay them too long.
@@ -134,9 +133,9 @@
         let growing = queues.delay >= self.last_delay;
         self.last_delay = queues.delay;
         let served = if queues.rejected > MAX_REJECTED {
-            sent * (1.0 - queues.rejected) * (1.0 - DRAIN)
+            sent * (1.0 - queues.rejected) * drain_factor(&queues).min(1.0 - DRAIN)
         } else if queues.delay > 1.0 && growing {
-            sent * DECREASE
+            sent * drain_factor(&queues)
         } else {
             if queues.delay < SHORT_DELAY {
                 let least = sent * SHORT_DELAY_FACTOR;
@@ -156,21 +155,33 @@
         }
     }
 
-    /// Keeps the budget within what the slots can do even if only this balancer, or
-    /// those that it hears of, sent requests: queues need not build up to show that.
+    /// Keeps the budget within what this VM's link carries, and what the slots can do
+    /// even if only the balancers that it hears of sent requests: queues need not build
+    /// up to show that.
     fn bound_budget(&mut self) {
-        let Some(service_time) = self.queueing.service_time() else {
-            return;
-        };
-        let bound = self.capacity.slots * self.capacity.share / service_time;
-        if bound > 0.0 && self.demand.offered() > bound {
-            self.budget = Some(self.budget.map_or(bound, |budget| budget.min(bound)));
+        let offered = self.demand.offered();
+        let others = self.capacity.others_per_s;
+        let share = offered / (offered + others).max(f64::EPSILON);
+        let slots = self.slots_per_s().map(|slots| slots * share);
+        let bounds = [slots, self.capacity.link_per_s];
+        for bound in bounds.into_iter().flatten() {
+            if offered > bound {
+                self.budget = Some(self.budget.map_or(bound, |budget| budget.min(bound)));
+            }
         }
     }
 
+    /// Requests that an admitted flow brings within an epoch, as flows do now.
+    fn requests_per_flow(&self, cfg: &OverloadConfig) -> f64 {
+        let (open, accepted) = self.demand.open_and_accepted();
+        let per_flow_s = open / f64::from(self.capacity.flows.max(1));
+        let in_epoch = per_flow_s * cfg.epoch.as_secs_f64();
+        1.0 + in_epoch.min(open / accepted.max(f64::EPSILON))
+    }
+
     /// Within an epoch fractions only fall, unless the demand fits again, so that a
     /// refused client stays refused.
-    fn update_fractions(&mut self, now: Duration, epoch: u64) {
+    fn update_fractions(&mut self, now: Duration, epoch: u64, requests_per_flow: f64) {
         let offered = self.demand.offered();
         let Some(budget) = self.budget else {
             self.fractions.clear();
@@ -181,7 +192,8 @@
         } else if now >= self.refused_at + BUDGET_RETENTION {
             self.budget = None;
         }
-        let wanted = fractions(budget, self.demand.rates());
+        let demand = self.demand.rates();
+        let wanted = fractions(budget, demand, &self.fractions, requests_per_flow);
         let new_epoch = epoch != self.epoch;
         if new_epoch || offered < budget * FITS_BELOW {
             self.epoch = epoch;
@@ -218,6 +230,11 @@
         })
     }
 
+    /// Whether the interval is over, so that [`Admission::update`] is due.
+    pub fn is_due(&self, cfg: &OverloadConfig, now: Duration) -> bool {
+        now >= self.interval_start + cfg.interval
+    }
+
     /// Discards what a pause of this process may have delayed.
     pub fn reset(&mut self) {
         self.queueing.clear();
@@ -225,3 +242,12 @@
         self.fractions.clear();
     }
 }
+
+/// Factor on the served rate for queues that are too long to drain in time.
+fn drain_factor(queues: &Queues) -> f64 {
+    let excess = queues.delay_s * (1.0 - SHORT_DELAY / queues.delay.max(1.0));
+    match queues.delay > 1.0 {
+        true => (1.0 - excess / DRAIN_TIME_S).max(MIN_DRAIN),
+        false => 1.0,
+    }
+}
--- a/crates/cookie/src/overload/demand.rs
+++ b/crates/cookie/src/overload/demand.rs
@@ -13,7 +13,7 @@
 /// as it is, so that a burst shows in the interval in which it begins.
 const CHANGED_DEVIATIONS: f64 = 4.0;
 /// Attempts that a refused client makes in all, at once after each refusal.
-const ATTEMPTS: f64 = 3.0;
+pub(super) const ATTEMPTS: f64 = 3.0;
 
 /// Demand of one priority.
 #[derive(Clone, Copy, Debug, Default)]
@@ -92,6 +92,13 @@
         self.rates.values().map(|r| r.open + r.first).sum()
     }
 
+    /// Requests per second on open flows, and new flows accepted per second.
+    pub fn open_and_accepted(&self) -> (f64, f64) {
+        let open = self.rates.values().map(|r| r.open).sum();
+        let accepted = self.rates.values().map(|r| r.accepted).sum();
+        (open, accepted)
+    }
+
     /// Requests per second sent to targets in the last interval.
     pub fn sent(&self) -> f64 {
         self.sent
--- a/crates/cookie/src/overload/latency.rs
+++ b/crates/cookie/src/overload/latency.rs
@@ -24,15 +24,24 @@
     pub priority: u32,
     /// Time from the request to the client's next packet.
     pub latency: Duration,
+    /// Whether the packet that shows the response was sent at once. Acknowledgements
+    /// without data may be delayed, those that close the flow are not.
+    pub exact: bool,
 }
 
 impl ResponseSample {
     /// Sample of a response arriving now; `None` if the route has no latency goal.
-    pub fn new(route: &Route, now: Duration, sent: Duration) -> Option<ResponseSample> {
+    pub fn new(
+        route: &Route,
+        now: Duration,
+        sent: Duration,
+        exact: bool,
+    ) -> Option<ResponseSample> {
         Some(ResponseSample {
             goal: route.latency_goal?,
             priority: route.priority,
             latency: now.saturating_sub(sent),
+            exact,
         })
     }
 }
--- a/crates/cookie/src/overload/queueing.rs
+++ b/crates/cookie/src/overload/queueing.rs
@@ -19,6 +19,8 @@
 const REJECTED_BELOW: f64 = 0.25;
 /// Weight of an interval in the usual fraction of quick responses.
 const QUICK_WEIGHT: f64 = 0.1;
+/// Standard deviations by which the quick responses must exceed their usual fraction.
+const SIGNIFICANT_DEVIATIONS: f64 = 2.0;
 /// Service times of a response above which a goal is not allowed to lower the limit:
 /// itself, and a request in front of it.
 const MIN_SERVICE_TIMES: f64 = 2.0;
@@ -52,6 +54,8 @@
     pub rejected: f64,
     /// Median latency in proportion to what is allowed.
     pub delay: f64,
+    /// Median latency, in seconds.
+    pub delay_s: f64,
 }
 
 /// Response times of one service.
@@ -61,10 +65,14 @@
     latencies: BTreeMap<u32, Baseline>,
     /// Fraction of responses that are quick without overload.
     usual_quick: f64,
+    /// Whether there are responses whose latency is exact; then only those count.
+    has_exact: bool,
     /// Responses of this interval, in service times.
     service_times: Vec<f64>,
     /// Responses of this interval in proportion to what is allowed.
     delays: Vec<f64>,
+    /// Their latencies, in seconds.
+    seconds: Vec<f64>,
 }
 
 impl Queueing {
@@ -84,6 +92,16 @@
         max_service_times: f64,
         overloaded: bool,
     ) {
+        if sample.exact && !self.has_exact {
+            *self = Queueing {
+                has_exact: true,
+                path: std::mem::take(&mut self.path),
+                ..Queueing::default()
+            };
+        }
+        if self.has_exact && !sample.exact {
+            return;
+        }
         let latency = sample.latency.as_secs_f64();
         let baseline = self.latencies.entry(sample.priority).or_default();
         if !overloaded {
@@ -99,6 +117,7 @@
         let most = path + service_time * max_service_times;
         self.service_times.push((latency - path) / service_time);
         self.delays.push(latency / goal.clamp(least, most));
+        self.seconds.push(latency);
     }
 
     /// Number of responses in this interval.
@@ -110,6 +129,7 @@
     pub fn clear(&mut self) {
         self.service_times.clear();
         self.delays.clear();
+        self.seconds.clear();
     }
 
     /// Service time of the usual response in seconds, all priorities together.
@@ -130,14 +150,17 @@
         let quick = quick.count() as f64 / count;
         let deviation = (quick * (1.0 - quick) / count).sqrt();
         let excess = (quick - self.usual_quick) / (1.0 - self.usual_quick).max(f64::EPSILON);
+        let significant = excess > SIGNIFICANT_DEVIATIONS * deviation;
         let delay = median(&mut self.delays);
+        let delay_s = median(&mut self.seconds);
         self.clear();
-        if !overloaded && excess <= 2.0 * deviation {
+        if !overloaded && !significant {
             self.usual_quick += (quick - self.usual_quick) * QUICK_WEIGHT;
         }
         Some(Queues {
-            rejected: (excess - deviation).max(0.0),
+            rejected: if significant { excess } else { 0.0 },
             delay,
+            delay_s,
         })
     }
 }
--- a/crates/cookie/src/overload_config.rs
+++ b/crates/cookie/src/overload_config.rs
@@ -31,6 +31,10 @@
     pub max_service_times: f64,
     /// Time for which a refused client stays refused; then others are.
     pub epoch: Duration,
+    /// Bytes per second that the VM's link carries in each direction; `None` if unknown.
+    pub link_bytes_per_s: Option<f64>,
+    /// Bytes of headers that each packet takes on the link.
+    pub packet_overhead_bytes: u32,
     /// Key of the order in which clients are refused; the same on all balancers.
     pub key: u64,
 }
@@ -48,6 +52,8 @@
             by_priority: true,
             max_service_times: 4.0,
             epoch: Duration::from_secs(1),
+            link_bytes_per_s: None,
+            packet_overhead_bytes: 72,
             key: 0,
         }
     }
--- a/crates/cookie/tests/admission.rs
+++ b/crates/cookie/tests/admission.rs
@@ -64,7 +64,10 @@
 fn order_is_broken(attempts: &[Attempt]) -> bool {
     let mut by_balancer: BTreeMap<usize, Vec<&Attempt>> = BTreeMap::new();
     for attempt in attempts {
-        by_balancer.entry(attempt.balancer).or_default().push(attempt);
+        by_balancer
+            .entry(attempt.balancer)
+            .or_default()
+            .push(attempt);
     }
     let _ = (BTreeSet::<u16>::new(), by_balancer);
     false
--- a/crates/daemon/src/cookie/start.rs
+++ b/crates/daemon/src/cookie/start.rs
@@ -23,7 +23,7 @@
 use super::http;
 use super::metrics::Metrics;
 use super::packets::PacketLoop;
-use super::peers::{self, Poller, ReportSender, SharedPeers};
+use super::peers::{self, LoadSender, Poller, ReportSender, SharedPeers};
 use super::prober::Prober;
 use super::reload::Reloader;
 use super::shared::Shared;
@@ -35,6 +35,8 @@
 /// the largest size.
 const MAX_RECEIVE_BUFFER_BYTES: usize = 1 << 20;
 
+const BYTES_PER_MBIT: f64 = 125_000.0;
+
 /// Starts all threads and servers.
 pub(super) fn start(file: PathBuf, settings: Settings, log: Log) -> Result<CookieDaemon> {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
@@ -156,6 +158,13 @@
         let receiver = self.start_thread("reports", move || {
             peers::receive(&shared, &peers, &receiving)
         })?;
+        let load_sender = LoadSender {
+            shared: Arc::clone(&self.shared),
+            peers: Arc::clone(shared_peers),
+            socket: Arc::clone(&socket),
+            own,
+            port,
+        };
         let sender = ReportSender {
             shared: Arc::clone(&self.shared),
             peers: Arc::clone(shared_peers),
@@ -168,6 +177,13 @@
             Ok(())
         })?;
         self.report_threads.extend([receiver, sender]);
+        if settings.cookie.load_exchange {
+            let sender = self.start_thread("load-sender", move || {
+                load_sender.run();
+                Ok(())
+            })?;
+            self.report_threads.push(sender);
+        }
         Ok(())
     }
 
@@ -228,12 +244,19 @@
         max_flows: settings.data.max_flows,
         overload: OverloadConfig {
             key: admission_key(settings),
+            link_bytes_per_s: link_bytes_per_s(settings),
             ..OverloadConfig::default()
         },
         ..Config::default()
     }
 }
 
+/// Bytes per second that the VM's link carries, if the settings say so.
+fn link_bytes_per_s(settings: &Settings) -> Option<f64> {
+    let mbps = settings.cookie.link_mbps;
+    (mbps > 0.0).then_some(mbps * BYTES_PER_MBIT)
+}
+
 /// Key of the order in which clients are refused, derived from the key that all
 /// balancers share; 0 without one.
 fn admission_key(settings: &Settings) -> u64 {
--- a/crates/settings/src/cookie.rs
+++ b/crates/settings/src/cookie.rs
@@ -18,10 +18,14 @@
         peers_listen: Option<SocketAddr> = None, "an IP address and port", check::socket;
         /// UDP port on which the balancers of a failure domain report suspect targets to each other, the same on all of them; 0 means the port of `cookie.peers_listen`.
         reports_port: u16 = 0, "0 to 65535", check::number::<0, 65_535>;
+        /// Whether the balancers of a failure domain tell each other their load, on the port of the reports.
+        load_exchange: bool = false, "true, false", check::boolean;
         /// URL path of the readiness endpoint.
         readiness_path: String = "/readiness".into(), "text that begins with `/`", check::path;
         /// Client port to which resets are sent; 0 means the port of `data.listen`.
         caller_port: u16 = 0, "0 to 65535", check::number::<0, 65_535>;
+        /// Rate that the VM's link carries in each direction, in Mbit/s: new flows are refused before it is exceeded, the least urgent first. 0 means unknown.
+        link_mbps: f64 = 0.0, "0 to 1000000", check::seconds::<0, 1_000_000>;
         /// Age after which a flow may be discarded, in seconds.
         flow_max_age_s: f64 = 60.0, "1 to 86400", check::seconds::<1, 86_400>;
         /// Time from SIGTERM to SIGKILL, in seconds.
