--- a/crates/cookie/src/decide.rs
+++ b/crates/cookie/src/decide.rs
@@ -22,8 +22,8 @@
         let decision = self.decide_packet(now, seg);
         let cfg = &self.cfg.overload;
         match decision {
-            Decision::Forward { .. } => self.overload.record_packet(cfg, seg.data_len),
-            Decision::Reset(_) => self.overload.record_packet(cfg, 0),
+            Decision::Forward { .. } => self.overload.record_forwarded(cfg, seg.data_len),
+            Decision::Reset(_) => self.overload.record_reset(cfg),
             Decision::Drop(_) => {}
         }
         decision
@@ -133,7 +133,6 @@
         let others = self.domain_load.service(now, service);
         Capacity {
             slots: slots.max(all * MIN_USABLE_PART),
-            flows: self.usable(now, service).map(|t| t.load.flows).sum(),
             others_per_s: others.map_or(0.0, |totals| offered_per_s(&totals.demand)),
             link_per_s: None,
         }
--- a/crates/cookie/src/flows.rs
+++ b/crates/cookie/src/flows.rs
@@ -20,6 +20,8 @@
 pub(crate) struct Flow {
     /// Target that its packets are forwarded to.
     pub target: TargetKey,
+    /// When its first packet was forwarded here; zero if it was opened elsewhere.
+    pub opened_at: Duration,
     /// Time of the last packet.
     pub last_seen: Duration,
     /// Whether a packet after the SYN was seen.
@@ -48,6 +50,7 @@
     pub fn new(target: TargetKey, now: Duration, syn_retransmits: u32) -> Flow {
         Flow {
             target,
+            opened_at: now,
             last_seen: now,
             open: false,
             syn_retransmits,
--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -68,13 +68,15 @@
             let time = now.saturating_sub(flow.sent_at);
             let service = &target.entry.service;
             self.overload
-                .record_handshake(&self.cfg.overload, service, time);
+                .record_handshake(&self.cfg.overload, now, service, time);
         }
         // Retransmitted requests are not sampled: the first copy may have been lost
         // (Karn's algorithm).
         if flow.busy {
             let rates = &mut self.own_load.rates;
             rates.record_response(now, &target.entry.service);
+            let cfg = &self.cfg.overload;
+            self.overload.record_answer(cfg, &target.entry.service);
         }
         let timed = flow.busy && !flow.stalled;
         target.load.clear_request(flow);
@@ -112,8 +114,9 @@
             let rates = &mut self.own_load.rates;
             rates.record_request(now, service, route.priority);
             let cfg = &self.cfg.overload;
-            let first = flow.seq == 0;
-            self.overload.record_request(cfg, service, route, first);
+            let age = now.saturating_sub(flow.opened_at);
+            let age = Some(age).filter(|_| flow.seq > 0);
+            self.overload.record_request(cfg, service, route, age);
         }
         target.load.mark_in_flight(flow);
         flow.seq = seg.seq;
@@ -154,6 +157,7 @@
         };
         target.load.flows += 1;
         let flow = Flow {
+            opened_at: Duration::ZERO,
             open: true,
             acked: seg.ack,
             seq: seg.seq,
--- a/crates/cookie/src/overload.rs
+++ b/crates/cookie/src/overload.rs
@@ -63,6 +63,8 @@
     /// Requests per second that the usable slots can process for all balancers; `None`
     /// before enough responses were seen.
     pub slots_per_s: Option<u32>,
+    /// Requests per second that this VM's link carries; `None` if that is unknown.
+    pub link_per_s: Option<u32>,
     /// Demand by priority through this balancer, the most urgent first; empty if its
     /// routes don't differ in priority.
     pub demand: Vec<PriorityDemand>,
@@ -89,8 +91,6 @@
     /// Slots of the targets that are neither silent nor suspect; those of cold targets
     /// count in part.
     pub slots: f64,
-    /// Flows to the targets through this balancer.
-    pub flows: u32,
     /// Requests per second of the other balancers, as far as they are known.
     pub others_per_s: f64,
     /// Requests per second that this VM's link carries, if that is known.
@@ -156,30 +156,48 @@
     }
 
     /// Records the time from a SYN to the client's next packet.
-    pub fn record_handshake(&mut self, cfg: &OverloadConfig, service: &Arc<str>, time: Duration) {
+    pub fn record_handshake(
+        &mut self,
+        cfg: &OverloadConfig,
+        now: Duration,
+        service: &Arc<str>,
+        time: Duration,
+    ) {
+        if let Some(admission) = self.admission(cfg, service) {
+            admission.record_handshake(now, time);
+        }
+    }
+
+    /// Counts a response, also one whose latency says nothing.
+    pub fn record_answer(&mut self, cfg: &OverloadConfig, service: &Arc<str>) {
         if let Some(admission) = self.admission(cfg, service) {
-            admission.record_handshake(time);
+            admission.record_answer();
         }
     }
 
-    /// Counts a request; `first` if it is the first on its flow.
+    /// Counts a request; `age` is that of its flow if it is not the first one there.
     pub fn record_request(
         &mut self,
         cfg: &OverloadConfig,
         service: &Arc<str>,
         route: &Route,
-        first: bool,
+        age: Option<Duration>,
     ) {
         self.link.record_request();
-        if let Some(admission) = self.admission(cfg, service) {
-            admission.record_request(route.priority, first);
+        if let (Some(age), Some(admission)) = (age, self.admission(cfg, service)) {
+            admission.record_later_request(route.priority, age < cfg.epoch);
         }
     }
 
-    /// Counts a packet that is sent with this much data.
-    pub fn record_packet(&mut self, cfg: &OverloadConfig, data_bytes: u16) {
-        let bytes = u64::from(cfg.packet_overhead_bytes) + u64::from(data_bytes);
-        self.link.record_packet(bytes);
+    /// Counts a packet that is forwarded with this much data.
+    pub fn record_forwarded(&mut self, cfg: &OverloadConfig, data_bytes: u16) {
+        let bytes = cfg.packet_overhead_bytes + u32::from(data_bytes);
+        self.link.record_forwarded(bytes);
+    }
+
+    /// Counts a reset.
+    pub fn record_reset(&mut self, cfg: &OverloadConfig) {
+        self.link.record_reset(cfg.packet_overhead_bytes);
     }
 
     /// Whether [`Overload::update`] is due before a new flow of the service.
@@ -278,6 +296,7 @@
                 change.limit = None;
                 change.budget_per_s = budget.map(|b| b.round() as u32);
                 change.slots_per_s = admission.slots_per_s().map(|s| s.round() as u32);
+                change.link_per_s = admission.link_per_s().map(|l| l.round() as u32);
                 change.demand = admission.demand().collect();
             }
             changes.push(change);
--- a/crates/cookie/src/overload/admission.rs
+++ b/crates/cookie/src/overload/admission.rs
@@ -24,6 +24,8 @@
 const MAX_REJECTED: f64 = 0.04;
 /// Part of the served rate that the budget leaves free, so that queues drain.
 const DRAIN: f64 = 0.03;
+/// Smallest factor on the sent rate at once.
+const MIN_DECREASE: f64 = 0.5;
 /// Time within which queues that are too long are to drain.
 const DRAIN_TIME_S: f64 = 0.5;
 /// Smallest factor on the sent rate for queues to drain.
@@ -35,8 +37,13 @@
 const RISE_OF_DEMAND: f64 = 0.02;
 /// Delay in proportion to what is allowed below which targets have free slots.
 const SHORT_DELAY: f64 = 0.5;
-/// Factor on the sent rate that the budget reaches while targets have free slots.
-const SHORT_DELAY_FACTOR: f64 = 1.25;
+/// Factor on the sent rate that the budget reaches at once while targets have free
+/// slots.
+const FREE_SLOTS_FACTOR: f64 = 1.25;
+/// Fraction of the requests of an interval whose responses may be missing in the next.
+const MAX_MISSING: f64 = 0.3;
+/// Number of them up to which that says nothing.
+const MIN_MISSING: f64 = 10.0;
 /// Fraction of the budget below which the demand must fall for refusals to end within
 /// an epoch.
 const FITS_BELOW: f64 = 0.9;
@@ -61,6 +68,12 @@
     refused_at: Duration,
     /// Delay of the last interval.
     last_delay: f64,
+    /// Responses in this interval.
+    answered: u32,
+    /// Requests per second sent to targets in the interval before.
+    sent_before: f64,
+    /// Whether responses have not waited in the targets' queues lately.
+    has_free_slots: bool,
     fractions: BTreeMap<u32, f64>,
     epoch: u64,
     /// Room at the targets when the last flow was decided.
@@ -68,26 +81,38 @@
 }
 
 impl Admission {
-    /// Counts a request; `first` if it is the first on its flow.
-    pub fn record_request(&mut self, priority: u32, first: bool) {
-        if !first {
-            self.demand.record_open(priority);
-        }
+    /// Counts a request that is not the first on its flow; `recent` if the flow was
+    /// opened within an epoch.
+    pub fn record_later_request(&mut self, priority: u32, recent: bool) {
+        self.demand.record_later_request(priority, recent);
     }
 
     /// Records the time from a SYN to the client's next packet.
-    pub fn record_handshake(&mut self, time: Duration) {
-        self.queueing.record_handshake(time, self.budget.is_some());
+    pub fn record_handshake(&mut self, now: Duration, time: Duration) {
+        let overloaded = self.budget.is_some();
+        self.queueing.record_handshake(now, time, overloaded);
+    }
+
+    /// Counts a response, also one whose latency says nothing.
+    pub fn record_answer(&mut self) {
+        self.answered += 1;
     }
 
     /// Records a response.
     pub fn record_response(&mut self, cfg: &OverloadConfig, now: Duration, sample: ResponseSample) {
-        if now < self.lowered_at + sample.latency {
+        // Rejections are quick: until served requests can have been answered too, the
+        // responses would be mostly rejections.
+        if now < self.lowered_at + self.queueing.allowed() {
             return;
         }
         let overloaded = self.budget.is_some();
-        self.queueing
-            .record_response(sample, cfg.goal_fraction, cfg.max_service_times, overloaded);
+        self.queueing.record_response(
+            now,
+            sample,
+            cfg.goal_fraction,
+            cfg.max_service_times,
+            overloaded,
+        );
     }
 
     /// Whether to accept the first SYN of a flow.
@@ -118,13 +143,24 @@
         if self.queueing.len() >= cfg.min_responses
             && let Some(queues) = self.queueing.finish_interval(self.budget.is_some())
         {
+            if std::env::var_os("ADMDBG").is_some() {
+                eprintln!(
+                    "ADM {:.3} {:?} budget {:?} sent {:.0} offered {:.0} {:?}",
+                    now.as_secs_f64(),
+                    queues,
+                    self.budget,
+                    self.demand.sent(),
+                    self.demand.offered(),
+                    self.fractions
+                );
+            }
             self.follow_queues(now, queues);
         }
+        self.follow_answers(now, elapsed);
         self.raise_budget(elapsed);
         self.bound_budget();
         let epoch = lottery::epoch_at(wall, cfg.epoch);
-        let requests_per_flow = self.requests_per_flow(cfg);
-        self.update_fractions(now, epoch, requests_per_flow);
+        self.update_fractions(now, epoch);
     }
 
     /// Lowers the budget if the targets reject requests or delay them too long.
@@ -133,25 +169,47 @@
         let growing = queues.delay >= self.last_delay;
         self.last_delay = queues.delay;
         let served = if queues.rejected > MAX_REJECTED {
-            sent * (1.0 - queues.rejected) * drain_factor(&queues).min(1.0 - DRAIN)
+            let served = (1.0 - queues.rejected) * drain_factor(&queues).min(1.0 - DRAIN);
+            sent * served.max(MIN_DECREASE)
         } else if queues.delay > 1.0 && growing {
             sent * drain_factor(&queues)
         } else {
-            if queues.delay < SHORT_DELAY {
-                let least = sent * SHORT_DELAY_FACTOR;
-                self.budget = self.budget.map(|budget| budget.max(least));
-            }
+            self.has_free_slots = queues.delay < SHORT_DELAY;
             return;
         };
-        self.budget = Some(served);
+        self.lower_budget(now, served);
+    }
+
+    fn lower_budget(&mut self, now: Duration, budget: f64) {
+        self.budget = Some(budget);
+        self.has_free_slots = false;
         self.lowered_at = now;
         self.queueing.clear();
     }
 
+    /// Lowers the budget if requests remain unanswered: they, or the responses, wait
+    /// somewhere, be it in front of this VM's link.
+    fn follow_answers(&mut self, now: Duration, elapsed: Duration) {
+        let answered = f64::from(std::mem::take(&mut self.answered)) / elapsed.as_secs_f64();
+        let sent = self.demand.sent();
+        let expected = std::mem::replace(&mut self.sent_before, sent).min(sent);
+        let missing = (expected - answered) * elapsed.as_secs_f64();
+        let usual = expected * elapsed.as_secs_f64() * MAX_MISSING;
+        let settled = now >= self.lowered_at + self.queueing.allowed();
+        if settled && missing > usual.max(MIN_MISSING) {
+            self.lower_budget(now, answered.max(sent * MIN_DECREASE));
+        }
+    }
+
     fn raise_budget(&mut self, elapsed: Duration) {
         let rise = self.demand.offered() * RISE_OF_DEMAND;
+        let least = match self.has_free_slots {
+            true => self.demand.sent() * FREE_SLOTS_FACTOR,
+            false => 0.0,
+        };
         if let Some(budget) = &mut self.budget {
             *budget += (*budget * RISE_OF_BUDGET + rise) * elapsed.as_secs_f64();
+            *budget = budget.max(least);
         }
     }
 
@@ -171,17 +229,9 @@
         }
     }
 
-    /// Requests that an admitted flow brings within an epoch, as flows do now.
-    fn requests_per_flow(&self, cfg: &OverloadConfig) -> f64 {
-        let (open, accepted) = self.demand.open_and_accepted();
-        let per_flow_s = open / f64::from(self.capacity.flows.max(1));
-        let in_epoch = per_flow_s * cfg.epoch.as_secs_f64();
-        1.0 + in_epoch.min(open / accepted.max(f64::EPSILON))
-    }
-
-    /// Within an epoch fractions only fall, unless the demand fits again, so that a
-    /// refused client stays refused.
-    fn update_fractions(&mut self, now: Duration, epoch: u64, requests_per_flow: f64) {
+    /// Within an epoch fractions only fall, so that a refused client stays refused, unless
+    /// the demand fits again or targets have free slots, so that nobody is displaced.
+    fn update_fractions(&mut self, now: Duration, epoch: u64) {
         let offered = self.demand.offered();
         let Some(budget) = self.budget else {
             self.fractions.clear();
@@ -192,10 +242,9 @@
         } else if now >= self.refused_at + BUDGET_RETENTION {
             self.budget = None;
         }
-        let demand = self.demand.rates();
-        let wanted = fractions(budget, demand, &self.fractions, requests_per_flow);
+        let wanted = fractions(budget, self.demand.rates());
         let new_epoch = epoch != self.epoch;
-        if new_epoch || offered < budget * FITS_BELOW {
+        if new_epoch || self.has_free_slots || offered < budget * FITS_BELOW {
             self.epoch = epoch;
             self.fractions = wanted;
             return;
@@ -219,13 +268,18 @@
         Some(self.capacity.slots / self.queueing.service_time()?)
     }
 
+    /// Requests per second that this VM's link carries, if that is known.
+    pub fn link_per_s(&self) -> Option<f64> {
+        self.capacity.link_per_s
+    }
+
     /// Demand by priority, the most urgent first.
     pub fn demand(&self) -> impl Iterator<Item = PriorityDemand> {
         let rates = self.demand.rates();
         rates.map(|(priority, rates)| PriorityDemand {
             priority,
             flows_per_s: rates.first,
-            requests_per_s: rates.open,
+            requests_per_s: rates.later(),
             refused_per_s: rates.refused,
         })
     }
--- a/crates/cookie/src/overload/demand.rs
+++ b/crates/cookie/src/overload/demand.rs
@@ -1,8 +1,8 @@
 //! Demand for one service by priority.
 //!
 //! Load pattern: a long flow that is admitted brings requests later, and those can't be
-//! refused. Requests on open flows are therefore counted apart from first attempts of
-//! new flows: the admitted fraction of new flows is what the open ones leave.
+//! refused. Requests on flows that are open for longer are therefore demand by
+//! themselves, and a new flow counts with the requests that recent ones brought.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -12,26 +12,52 @@
 /// Standard deviations of a count beyond which its rate has changed: it is then taken
 /// as it is, so that a burst shows in the interval in which it begins.
 const CHANGED_DEVIATIONS: f64 = 4.0;
+/// Time constant of the averages that tell how many requests a flow brings.
+const SLOW_SMOOTHING: Duration = Duration::from_secs(1);
+/// Least number of new flows per request on recent flows that is taken for real; with
+/// fewer, the flows were opened through other balancers.
+const MIN_FLOWS_PER_REQUEST: f64 = 0.05;
 /// Attempts that a refused client makes in all, at once after each refusal.
 pub(super) const ATTEMPTS: f64 = 3.0;
 
 /// Demand of one priority.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct PriorityRates {
-    /// Requests per second on flows that had one before.
-    pub open: f64,
+    /// Requests per second on flows that are open for longer than an epoch.
+    pub old: f64,
+    /// Requests per second on younger flows, after the first ones on them.
+    pub recent: f64,
     /// First attempts of new flows per second, accepted or not.
     pub first: f64,
     /// New flows accepted per second.
     pub accepted: f64,
     /// New flows refused per second, repeated attempts included.
     pub refused: f64,
+    /// Slow averages of `recent` and `accepted`: requests follow their flows later.
+    slow: (f64, f64),
+}
+
+impl PriorityRates {
+    /// Requests per second after the first ones on their flows.
+    pub fn later(&self) -> f64 {
+        self.old + self.recent
+    }
+
+    /// Requests that a new flow brings within an epoch.
+    pub fn requests_per_flow(&self) -> f64 {
+        let (recent, accepted) = self.slow;
+        1.0 + recent
+            / accepted
+                .max(recent * MIN_FLOWS_PER_REQUEST)
+                .max(f64::EPSILON)
+    }
 }
 
 /// Counts of the current interval.
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
-    open: u32,
+    old: u32,
+    recent: u32,
     accepted: u32,
     refused: u32,
 }
@@ -47,8 +73,12 @@
 
 impl Demand {
     /// Counts a request on a flow that had one before.
-    pub fn record_open(&mut self, priority: u32) {
-        self.counts.entry(priority).or_default().open += 1;
+    pub fn record_later_request(&mut self, priority: u32, recent: bool) {
+        let counts = self.counts.entry(priority).or_default();
+        match recent {
+            true => counts.recent += 1,
+            false => counts.old += 1,
+        }
     }
 
     /// Counts the first SYN of a flow.
@@ -64,7 +94,7 @@
     /// priority were admitted.
     pub fn finish_interval(&mut self, elapsed: Duration, fraction: impl Fn(u32) -> f64) {
         let elapsed = elapsed.as_secs_f64();
-        let sent = self.counts.values().map(|c| c.open + c.accepted);
+        let sent = self.counts.values().map(|c| c.old + c.recent + c.accepted);
         self.sent = f64::from(sent.sum::<u32>()) / elapsed;
         for priority in self.counts.keys() {
             self.rates.entry(*priority).or_default();
@@ -73,10 +103,14 @@
             let counts = self.counts.remove(priority).unwrap_or_default();
             let smooth = |old: f64, count: f64| smoothed(old, count, elapsed);
             let first = first_attempts(counts, fraction(*priority));
-            rates.open = smooth(rates.open, f64::from(counts.open));
+            rates.old = smooth(rates.old, f64::from(counts.old));
+            rates.recent = smooth(rates.recent, f64::from(counts.recent));
             rates.first = smooth(rates.first, first);
             rates.accepted = smooth(rates.accepted, f64::from(counts.accepted));
             rates.refused = smooth(rates.refused, f64::from(counts.refused));
+            let weight = 1.0 - (-elapsed / SLOW_SMOOTHING.as_secs_f64()).exp();
+            rates.slow.0 += weight * (f64::from(counts.recent) / elapsed - rates.slow.0);
+            rates.slow.1 += weight * (f64::from(counts.accepted) / elapsed - rates.slow.1);
         }
     }
 
@@ -89,14 +123,7 @@
 
     /// Requests per second that clients have, answered or not.
     pub fn offered(&self) -> f64 {
-        self.rates.values().map(|r| r.open + r.first).sum()
-    }
-
-    /// Requests per second on open flows, and new flows accepted per second.
-    pub fn open_and_accepted(&self) -> (f64, f64) {
-        let open = self.rates.values().map(|r| r.open).sum();
-        let accepted = self.rates.values().map(|r| r.accepted).sum();
-        (open, accepted)
+        self.rates.values().map(|r| r.later() + r.first).sum()
     }
 
     /// Requests per second sent to targets in the last interval.
--- a/crates/cookie/src/overload/ladder.rs
+++ b/crates/cookie/src/overload/ladder.rs
@@ -13,31 +13,24 @@
 /// the whole budget, so that no client is refused in every epoch.
 const MIN_FRACTION: f64 = 0.02;
 
-/// Fraction of new flows to admit, by priority. A fraction that rises does so slowly
-/// where each flow brings `requests_per_flow` until the next change.
+/// Fraction of new flows to admit, by priority. A flow counts with the requests that it
+/// brings soon.
 pub(super) fn fractions(
     budget: f64,
     demand: impl Iterator<Item = (u32, PriorityRates)>,
-    current: &BTreeMap<u32, f64>,
-    requests_per_flow: f64,
 ) -> BTreeMap<u32, f64> {
     let mut left = budget;
     let mut more_urgent_fit = true;
     let mut fractions = BTreeMap::new();
     for (priority, rates) in demand {
-        left -= rates.open;
-        let mut fraction = match (more_urgent_fit, left >= rates.first) {
+        left -= rates.old;
+        let wanted = rates.first * rates.requests_per_flow();
+        let fraction = match (more_urgent_fit, left >= wanted) {
             (false, _) => 0.0,
             (true, true) => 1.0,
-            (true, false) => (left / rates.first).max(MIN_FRACTION),
+            (true, false) => (left / wanted).max(MIN_FRACTION),
         };
-        if let Some(current) = current.get(&priority)
-            && fraction > *current
-            && fraction < 1.0
-        {
-            fraction = current + (fraction - current) / requests_per_flow;
-        }
-        left -= rates.first * fraction;
+        left -= wanted * fraction;
         more_urgent_fit = fraction >= 1.0;
         fractions.insert(priority, fraction);
     }
--- a/crates/cookie/src/overload/queueing.rs
+++ b/crates/cookie/src/overload/queueing.rs
@@ -15,10 +15,18 @@
 const BASELINE_BATCH: usize = 16;
 /// Weight of a batch that is slower than the baseline; a faster one replaces it.
 const SLOWER_WEIGHT: f64 = 0.1;
+/// Minimum time between two updates by slower batches: longer than a burst takes to
+/// fill queues before it shows.
+const SLOWER_INTERVAL: Duration = Duration::from_secs(1);
 /// Fraction of the median service time below which a response is a rejection.
 const REJECTED_BELOW: f64 = 0.25;
 /// Weight of an interval in the usual fraction of quick responses.
 const QUICK_WEIGHT: f64 = 0.1;
+const MEDIAN: f64 = 0.5;
+/// Fraction of the responses that are to meet their goal whatever the median is.
+const MEET_GOAL: f64 = 0.95;
+/// Part of the goal that they may take; the rest is for the handshake.
+const MAX_OF_GOAL: f64 = 0.9;
 /// Standard deviations by which the quick responses must exceed their usual fraction.
 const SIGNIFICANT_DEVIATIONS: f64 = 2.0;
 /// Service times of a response above which a goal is not allowed to lower the limit:
@@ -30,20 +38,25 @@
 struct Baseline {
     median: Option<f64>,
     batch: Vec<f64>,
+    updated_at: Duration,
 }
 
 impl Baseline {
-    fn record(&mut self, sample: f64) {
+    fn record(&mut self, now: Duration, sample: f64) {
         self.batch.push(sample);
         if self.batch.len() < BASELINE_BATCH {
             return;
         }
-        let median = median(&mut self.batch);
+        let latest = quantile(&mut self.batch, MEDIAN);
         self.batch.clear();
-        self.median = Some(match self.median {
-            Some(old) if median > old => old + (median - old) * SLOWER_WEIGHT,
-            _ => median,
-        });
+        let recent = now < self.updated_at + SLOWER_INTERVAL;
+        let median = match self.median {
+            Some(old) if latest > old && recent => return,
+            Some(old) if latest > old => old + (latest - old) * SLOWER_WEIGHT,
+            _ => latest,
+        };
+        self.median = Some(median);
+        self.updated_at = now;
     }
 }
 
@@ -52,7 +65,8 @@
 pub(super) struct Queues {
     /// Fraction of the requests that targets rejected.
     pub rejected: f64,
-    /// Median latency in proportion to what is allowed.
+    /// Latency in proportion to what is allowed: of the median, or of the slowest ones
+    /// that should still meet their goal.
     pub delay: f64,
     /// Median latency, in seconds.
     pub delay_s: f64,
@@ -65,21 +79,25 @@
     latencies: BTreeMap<u32, Baseline>,
     /// Fraction of responses that are quick without overload.
     usual_quick: f64,
+    /// Time that the last response was allowed to take, in seconds.
+    allowed: f64,
     /// Whether there are responses whose latency is exact; then only those count.
     has_exact: bool,
     /// Responses of this interval, in service times.
     service_times: Vec<f64>,
     /// Responses of this interval in proportion to what is allowed.
     delays: Vec<f64>,
+    /// The same in proportion to their goals.
+    of_goal: Vec<f64>,
     /// Their latencies, in seconds.
     seconds: Vec<f64>,
 }
 
 impl Queueing {
     /// Records the time from a SYN to the client's next packet.
-    pub fn record_handshake(&mut self, time: Duration, overloaded: bool) {
+    pub fn record_handshake(&mut self, now: Duration, time: Duration, overloaded: bool) {
         if !overloaded {
-            self.path.record(time.as_secs_f64());
+            self.path.record(now, time.as_secs_f64());
         }
     }
 
@@ -87,6 +105,7 @@
     /// target's queue included.
     pub fn record_response(
         &mut self,
+        now: Duration,
         sample: ResponseSample,
         goal_fraction: f64,
         max_service_times: f64,
@@ -105,7 +124,7 @@
         let latency = sample.latency.as_secs_f64();
         let baseline = self.latencies.entry(sample.priority).or_default();
         if !overloaded {
-            baseline.record(latency);
+            baseline.record(now, latency);
         }
         let Some(median) = baseline.median else {
             return;
@@ -116,10 +135,18 @@
         let least = path + service_time * MIN_SERVICE_TIMES;
         let most = path + service_time * max_service_times;
         self.service_times.push((latency - path) / service_time);
-        self.delays.push(latency / goal.clamp(least, most));
+        let allowed = goal.clamp(least, most);
+        self.allowed = allowed;
+        self.delays.push(latency / allowed);
+        self.of_goal.push(latency / sample.goal.as_secs_f64());
         self.seconds.push(latency);
     }
 
+    /// Time that a response may take, the time in the target's queue included.
+    pub fn allowed(&self) -> Duration {
+        Duration::from_secs_f64(self.allowed)
+    }
+
     /// Number of responses in this interval.
     pub fn len(&self) -> usize {
         self.delays.len()
@@ -129,6 +156,7 @@
     pub fn clear(&mut self) {
         self.service_times.clear();
         self.delays.clear();
+        self.of_goal.clear();
         self.seconds.clear();
     }
 
@@ -151,8 +179,9 @@
         let deviation = (quick * (1.0 - quick) / count).sqrt();
         let excess = (quick - self.usual_quick) / (1.0 - self.usual_quick).max(f64::EPSILON);
         let significant = excess > SIGNIFICANT_DEVIATIONS * deviation;
-        let delay = median(&mut self.delays);
-        let delay_s = median(&mut self.seconds);
+        let slowest = quantile(&mut self.of_goal, MEET_GOAL) / MAX_OF_GOAL;
+        let delay = quantile(&mut self.delays, MEDIAN).max(slowest);
+        let delay_s = quantile(&mut self.seconds, MEDIAN);
         self.clear();
         if !overloaded && !significant {
             self.usual_quick += (quick - self.usual_quick) * QUICK_WEIGHT;
@@ -165,8 +194,9 @@
     }
 }
 
-fn median(samples: &mut [f64]) -> f64 {
-    let middle = samples.len() / 2;
-    let (_, median, _) = samples.select_nth_unstable_by(middle, f64::total_cmp);
-    *median
+fn quantile(samples: &mut [f64], fraction: f64) -> f64 {
+    let position = (samples.len() as f64 * fraction) as usize;
+    let position = position.min(samples.len() - 1);
+    let (_, value, _) = samples.select_nth_unstable_by(position, f64::total_cmp);
+    *value
 }
--- a/crates/cookie/src/overload/service.rs
+++ b/crates/cookie/src/overload/service.rs
@@ -158,6 +158,7 @@
             limit,
             budget_per_s: None,
             slots_per_s: None,
+            link_per_s: None,
             demand: Vec::new(),
             in_flight: self.in_flight,
             responses_per_s: self.responses_per_s.round() as u32,
--- a/crates/cookie/tests/admission.rs
+++ b/crates/cookie/tests/admission.rs
@@ -72,3 +72,9 @@
     let _ = (BTreeSet::<u16>::new(), by_balancer);
     false
 }
+#[test]
+fn dbg_one() {
+    let mut replay = replay(8, 40, OverloadConfig::default());
+    eprintln!("START {:?}", replay.now);
+    replay.run_load(2.0, ms(3000), &MIX);
+}
--- a/crates/daemon/src/cookie/egress.rs
+++ b/crates/daemon/src/cookie/egress.rs
@@ -62,6 +62,7 @@
                 limit: change.limit,
                 budget_per_s: change.budget_per_s,
                 slots_per_s: change.slots_per_s,
+                link_per_s: change.link_per_s,
                 demand: demand_text(&change.demand),
                 in_flight: change.in_flight,
                 responses_per_s: change.responses_per_s,
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -398,6 +398,8 @@
         budget_per_s: Option<u32>,
         /// Requests per second that the slots of its usable targets can process for all balancers, if known.
         slots_per_s: Option<u32>,
+        /// Requests per second that the link of this VM carries, if known.
+        link_per_s: Option<u32>,
         /// Demand through this balancer by priority, most urgent first: new flows, requests on open flows and refusals per second.
         demand: String,
         /// Its requests in flight when the last flow was accepted or refused.
