--- a/crates/cookie/src/decide.rs
+++ b/crates/cookie/src/decide.rs
@@ -13,6 +13,8 @@
 
 /// Part of a cold target's slots that counts as capacity; it takes about twice as long.
 const COLD_PART: f64 = 0.5;
+/// Requests per slot at which the queue of a target is so long that it rejects more.
+const FULL_PER_SLOT: f64 = 4.0;
 /// Part of a service's slots that counts as usable whatever the targets look like.
 const MIN_USABLE_PART: f64 = 0.5;
 
@@ -148,7 +150,7 @@
                 let others = others.map_or(0.0, |load| load.in_flight);
                 let in_flight = f64::from(target.load.in_flight) + others;
                 let slots = f64::from(target.entry.slots);
-                in_flight < slots * self.cfg.overload.max_service_times
+                in_flight < slots * FULL_PER_SLOT
             })
     }
 
--- a/crates/cookie/src/overload.rs
+++ b/crates/cookie/src/overload.rs
@@ -214,7 +214,9 @@
         service: &Arc<str>,
         capacity: Capacity,
     ) {
-        self.link.update(now, cfg.interval);
+        let mut admissions = self.admissions.values();
+        let overloaded = admissions.any(|a| a.budget_at(now).is_some());
+        self.link.update(now, cfg.interval, overloaded);
         let link_per_s = cfg
             .link_bytes_per_s
             .and_then(|capacity| self.link.requests_per_s(capacity));
--- a/crates/cookie/src/overload/admission.rs
+++ b/crates/cookie/src/overload/admission.rs
@@ -30,25 +30,30 @@
 const DRAIN_TIME_S: f64 = 0.5;
 /// Smallest factor on the sent rate for queues to drain.
 const MIN_DRAIN: f64 = 0.6;
-/// Fraction of the budget by which it rises per second.
-const RISE_OF_BUDGET: f64 = 0.05;
+/// Factor on the part of the allowed delay that is not used, for the fraction by which
+/// the budget rises per second.
+const RISE_OF_BUDGET: f64 = 1.0;
 /// Fraction of the demand by which it rises per second; equal fractions bring balancers
 /// together whose budgets differ.
 const RISE_OF_DEMAND: f64 = 0.02;
-/// Delay in proportion to what is allowed below which targets have free slots.
+/// Delay in proportion to what is allowed that queues drain to.
 const SHORT_DELAY: f64 = 0.5;
+/// Median response time in service times below which most targets have free slots.
+const FREE_SERVICE_TIMES: f64 = 1.75;
 /// Factor on the sent rate that the budget reaches at once while targets have free
 /// slots.
-const FREE_SLOTS_FACTOR: f64 = 1.25;
-/// Fraction of the requests of an interval whose responses may be missing in the next.
-const MAX_MISSING: f64 = 0.3;
-/// Number of them up to which that says nothing.
-const MIN_MISSING: f64 = 10.0;
+const FREE_SLOTS_FACTOR: f64 = 1.1;
+/// Fraction of the requests of some intervals whose responses may be missing in the
+/// next ones.
+const MAX_MISSING: f64 = 0.4;
+/// Least number of these requests, so that the fraction is no accident.
+const MIN_EXPECTED: f64 = 100.0;
 /// Fraction of the budget below which the demand must fall for refusals to end within
 /// an epoch.
 const FITS_BELOW: f64 = 0.9;
-/// Factor by which a fraction must change to change within an epoch.
-const FRACTION_CHANGE: f64 = 0.9;
+/// Factor by which a fraction must fall to do so within an epoch because of the demand,
+/// which varies by chance.
+const FRACTION_CHANGE: f64 = 0.75;
 /// Time without refusals after which the budget is forgotten.
 const BUDGET_RETENTION: Duration = Duration::from_secs(2);
 
@@ -59,8 +64,10 @@
     queueing: Queueing,
     order: PriorityOrder,
     interval_start: Duration,
-    /// Requests per second that may be sent to targets; `None` while all fit.
+    /// Requests per second that the targets serve; `None` while all are served.
     budget: Option<f64>,
+    /// Requests per second that may be sent to targets; `None` while all fit.
+    limit: Option<f64>,
     /// When the budget was last lowered; responses to earlier requests say nothing
     /// about it.
     lowered_at: Duration,
@@ -68,7 +75,8 @@
     refused_at: Duration,
     /// Delay of the last interval.
     last_delay: f64,
-    /// Responses in this interval.
+    /// Requests sent and responses since these were last compared.
+    expected: f64,
     answered: u32,
     /// Requests per second sent to targets in the interval before.
     sent_before: f64,
@@ -143,22 +151,10 @@
         if self.queueing.len() >= cfg.min_responses
             && let Some(queues) = self.queueing.finish_interval(self.budget.is_some())
         {
-            if std::env::var_os("ADMDBG").is_some() {
-                eprintln!(
-                    "ADM {:.3} {:?} budget {:?} sent {:.0} offered {:.0} {:?}",
-                    now.as_secs_f64(),
-                    queues,
-                    self.budget,
-                    self.demand.sent(),
-                    self.demand.offered(),
-                    self.fractions
-                );
-            }
             self.follow_queues(now, queues);
         }
         self.follow_answers(now, elapsed);
         self.raise_budget(elapsed);
-        self.bound_budget();
         let epoch = lottery::epoch_at(wall, cfg.epoch);
         self.update_fractions(now, epoch);
     }
@@ -174,14 +170,17 @@
         } else if queues.delay > 1.0 && growing {
             sent * drain_factor(&queues)
         } else {
-            self.has_free_slots = queues.delay < SHORT_DELAY;
+            self.has_free_slots = queues.service_times < FREE_SERVICE_TIMES;
             return;
         };
         self.lower_budget(now, served);
     }
 
-    fn lower_budget(&mut self, now: Duration, budget: f64) {
-        self.budget = Some(budget);
+    /// Lowers the budget to the rate that was served, but to half of it at most: while
+    /// packets wait in front of this VM, few requests come.
+    fn lower_budget(&mut self, now: Duration, served: f64) {
+        let least = self.budget.unwrap_or_default() * MIN_DECREASE;
+        self.budget = Some(served.max(least));
         self.has_free_slots = false;
         self.lowered_at = now;
         self.queueing.clear();
@@ -190,14 +189,20 @@
     /// Lowers the budget if requests remain unanswered: they, or the responses, wait
     /// somewhere, be it in front of this VM's link.
     fn follow_answers(&mut self, now: Duration, elapsed: Duration) {
-        let answered = f64::from(std::mem::take(&mut self.answered)) / elapsed.as_secs_f64();
+        let elapsed = elapsed.as_secs_f64();
         let sent = self.demand.sent();
-        let expected = std::mem::replace(&mut self.sent_before, sent).min(sent);
-        let missing = (expected - answered) * elapsed.as_secs_f64();
-        let usual = expected * elapsed.as_secs_f64() * MAX_MISSING;
-        let settled = now >= self.lowered_at + self.queueing.allowed();
-        if settled && missing > usual.max(MIN_MISSING) {
-            self.lower_budget(now, answered.max(sent * MIN_DECREASE));
+        self.expected += std::mem::replace(&mut self.sent_before, sent).min(sent) * elapsed;
+        if now < self.lowered_at + self.queueing.allowed() {
+            self.expected = 0.0;
+            self.answered = 0;
+        }
+        if self.expected < MIN_EXPECTED {
+            return;
+        }
+        let answered = f64::from(std::mem::take(&mut self.answered));
+        let answered = answered / std::mem::take(&mut self.expected);
+        if answered < 1.0 - MAX_MISSING {
+            self.lower_budget(now, sent * answered.max(MIN_DECREASE));
         }
     }
 
@@ -208,50 +213,49 @@
             false => 0.0,
         };
         if let Some(budget) = &mut self.budget {
-            *budget += (*budget * RISE_OF_BUDGET + rise) * elapsed.as_secs_f64();
+            let unused = (1.0 - self.last_delay).clamp(0.0, 1.0);
+            *budget += (*budget * unused * RISE_OF_BUDGET + rise) * elapsed.as_secs_f64();
             *budget = budget.max(least);
         }
     }
 
-    /// Keeps the budget within what this VM's link carries, and what the slots can do
-    /// even if only the balancers that it hears of sent requests: queues need not build
-    /// up to show that.
-    fn bound_budget(&mut self) {
+    /// The budget within what this VM's link carries, and what the slots can do even if
+    /// only the balancers that it hears of sent requests: queues need not build up to
+    /// show that. `None` while all fits.
+    fn bounded_budget(&self) -> Option<f64> {
         let offered = self.demand.offered();
-        let others = self.capacity.others_per_s;
-        let share = offered / (offered + others).max(f64::EPSILON);
-        let slots = self.slots_per_s().map(|slots| slots * share);
-        let bounds = [slots, self.capacity.link_per_s];
-        for bound in bounds.into_iter().flatten() {
-            if offered > bound {
-                self.budget = Some(self.budget.map_or(bound, |budget| budget.min(bound)));
-            }
-        }
+        let share = offered / (offered + self.capacity.others_per_s).max(f64::EPSILON);
+        let slots = self.slots_per_s().filter(|slots| *slots > 0.0);
+        let bounds = [slots.map(|slots| slots * share), self.capacity.link_per_s];
+        let exceeded = bounds.into_iter().flatten().filter(|b| offered > *b);
+        exceeded.chain(self.budget).reduce(f64::min)
     }
 
     /// Within an epoch fractions only fall, so that a refused client stays refused, unless
     /// the demand fits again or targets have free slots, so that nobody is displaced.
     fn update_fractions(&mut self, now: Duration, epoch: u64) {
         let offered = self.demand.offered();
-        let Some(budget) = self.budget else {
+        self.limit = self.bounded_budget();
+        let Some(limit) = self.limit else {
             self.fractions.clear();
             return;
         };
-        if offered > budget {
+        if offered > limit {
             self.refused_at = now;
         } else if now >= self.refused_at + BUDGET_RETENTION {
             self.budget = None;
         }
-        let wanted = fractions(budget, self.demand.rates());
+        let wanted = fractions(limit, self.demand.rates());
         let new_epoch = epoch != self.epoch;
-        if new_epoch || self.has_free_slots || offered < budget * FITS_BELOW {
+        if new_epoch || self.has_free_slots || offered < limit * FITS_BELOW {
             self.epoch = epoch;
             self.fractions = wanted;
             return;
         }
+        let lowered = self.lowered_at == now;
         for (priority, fraction) in wanted {
             let current = self.fractions.entry(priority).or_insert(1.0);
-            if fraction < *current * FRACTION_CHANGE {
+            if fraction < *current && (lowered || fraction < *current * FRACTION_CHANGE) {
                 *current = fraction;
             }
         }
@@ -260,7 +264,7 @@
     /// Requests per second that may be sent to targets; `None` while all fit.
     pub fn budget_at(&self, now: Duration) -> Option<f64> {
         let known = now < self.interval_start + BUDGET_RETENTION;
-        self.budget.filter(|_| known)
+        self.limit.filter(|_| known)
     }
 
     /// Requests per second that the usable slots can process for all balancers.
@@ -293,6 +297,7 @@
     pub fn reset(&mut self) {
         self.queueing.clear();
         self.budget = None;
+        self.limit = None;
         self.fractions.clear();
     }
 }
--- a/crates/cookie/src/overload/link.rs
+++ b/crates/cookie/src/overload/link.rs
@@ -3,7 +3,8 @@
 //! Load pattern: a small VM gets as many flows as a large one. Once packets wait in
 //! front of its link, or are lost there, clients send them again, all its responses are
 //! late and all targets look slow. The requests that fit are known before that: what
-//! refusals leave of the link's capacity, by the bytes that a request has taken lately.
+//! refusals leave of the link's capacity, by the bytes that a request takes while there
+//! is no overload.
 
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 /// Minimum number of requests in an interval to update the bytes per request.
 const MIN_REQUESTS: u32 = 8;
 
-/// Use of this VM's link in the sending direction.
+/// Use of this VM's link, both directions together.
 #[derive(Debug, Default)]
 pub(super) struct LinkUse {
     forwarded_bytes: u64,
@@ -27,14 +28,14 @@
 }
 
 impl LinkUse {
-    /// Counts a packet that is forwarded.
+    /// Counts a packet that is received and forwarded.
     pub fn record_forwarded(&mut self, bytes: u32) {
-        self.forwarded_bytes += u64::from(bytes);
+        self.forwarded_bytes += 2 * u64::from(bytes);
     }
 
-    /// Counts a reset.
+    /// Counts a packet that is received and answered by a reset.
     pub fn record_reset(&mut self, bytes: u32) {
-        self.reset_bytes += u64::from(bytes);
+        self.reset_bytes += 2 * u64::from(bytes);
     }
 
     /// Counts a request.
@@ -42,8 +43,9 @@
         self.requests += 1;
     }
 
-    /// Ends the interval if it has lasted for `interval`.
-    pub fn update(&mut self, now: Duration, interval: Duration) {
+    /// Ends the interval if it has lasted for `interval`. While `overloaded`, packets that
+    /// are sent again would make requests look larger than they are.
+    pub fn update(&mut self, now: Duration, interval: Duration, overloaded: bool) {
         let elapsed = now.saturating_sub(self.interval_start);
         if elapsed < interval {
             return;
@@ -52,12 +54,14 @@
         self.reset_bytes_per_s += (reset - self.reset_bytes_per_s) * WEIGHT;
         self.reset_bytes = 0;
         self.interval_start = now;
-        if self.requests < MIN_REQUESTS {
+        if self.requests < MIN_REQUESTS && !overloaded {
             return;
         }
-        let bytes = self.forwarded_bytes as f64 / f64::from(self.requests);
-        let average = self.bytes_per_request.unwrap_or(bytes);
-        self.bytes_per_request = Some(average + (bytes - average) * WEIGHT);
+        if !overloaded {
+            let bytes = self.forwarded_bytes as f64 / f64::from(self.requests);
+            let average = self.bytes_per_request.unwrap_or(bytes);
+            self.bytes_per_request = Some(average + (bytes - average) * WEIGHT);
+        }
         self.forwarded_bytes = 0;
         self.requests = 0;
     }
--- a/crates/cookie/src/overload/queueing.rs
+++ b/crates/cookie/src/overload/queueing.rs
@@ -23,12 +23,12 @@
 /// Weight of an interval in the usual fraction of quick responses.
 const QUICK_WEIGHT: f64 = 0.1;
 const MEDIAN: f64 = 0.5;
-/// Fraction of the responses that are to meet their goal whatever the median is.
-const MEET_GOAL: f64 = 0.95;
+/// Fraction of the responses that may miss their goal whatever the median is.
+const MAX_LATE: f64 = 0.05;
 /// Part of the goal that they may take; the rest is for the handshake.
 const MAX_OF_GOAL: f64 = 0.9;
-/// Standard deviations by which the quick responses must exceed their usual fraction.
-const SIGNIFICANT_DEVIATIONS: f64 = 2.0;
+/// Standard deviations by which a fraction must exceed the usual one to mean something.
+const SIGNIFICANT_DEVIATIONS: f64 = 2.5;
 /// Service times of a response above which a goal is not allowed to lower the limit:
 /// itself, and a request in front of it.
 const MIN_SERVICE_TIMES: f64 = 2.0;
@@ -70,6 +70,8 @@
     pub delay: f64,
     /// Median latency, in seconds.
     pub delay_s: f64,
+    /// Median latency without the path, in service times.
+    pub service_times: f64,
 }
 
 /// Response times of one service.
@@ -122,15 +124,16 @@
             return;
         }
         let latency = sample.latency.as_secs_f64();
+        let path = self.path.median.unwrap_or_default();
         let baseline = self.latencies.entry(sample.priority).or_default();
-        if !overloaded {
+        let service_time = baseline.median.map(|median| median - path);
+        let rejected = service_time.is_some_and(|time| latency - path < time * REJECTED_BELOW);
+        if !overloaded && !rejected {
             baseline.record(now, latency);
         }
-        let Some(median) = baseline.median else {
+        let Some(service_time) = service_time.filter(|time| *time > 0.0) else {
             return;
         };
-        let path = self.path.median.unwrap_or_default().min(median);
-        let service_time = (median - path).max(f64::EPSILON);
         let goal = sample.goal.as_secs_f64() * goal_fraction;
         let least = path + service_time * MIN_SERVICE_TIMES;
         let most = path + service_time * max_service_times;
@@ -179,8 +182,14 @@
         let deviation = (quick * (1.0 - quick) / count).sqrt();
         let excess = (quick - self.usual_quick) / (1.0 - self.usual_quick).max(f64::EPSILON);
         let significant = excess > SIGNIFICANT_DEVIATIONS * deviation;
-        let slowest = quantile(&mut self.of_goal, MEET_GOAL) / MAX_OF_GOAL;
-        let delay = quantile(&mut self.delays, MEDIAN).max(slowest);
+        let mut delay = quantile(&mut self.delays, MEDIAN);
+        let late = self.of_goal.iter().filter(|x| **x > MAX_OF_GOAL);
+        let late = late.count() as f64 / count - MAX_LATE;
+        let late_deviation = (MAX_LATE * (1.0 - MAX_LATE) / count).sqrt();
+        if late > SIGNIFICANT_DEVIATIONS * late_deviation {
+            delay = delay.max(1.0 + late);
+        }
+        let service_times = quantile(&mut self.service_times, MEDIAN);
         let delay_s = quantile(&mut self.seconds, MEDIAN);
         self.clear();
         if !overloaded && !significant {
@@ -190,6 +199,7 @@
             rejected: if significant { excess } else { 0.0 },
             delay,
             delay_s,
+            service_times,
         })
     }
 }
--- a/crates/cookie/tests/admission.rs
+++ b/crates/cookie/tests/admission.rs
@@ -41,20 +41,30 @@
 
 #[test]
 fn goodput_holds_at_each_load_and_fleet() {
-    for (balancers, targets) in FLEETS {
-        for load in [1.1, 1.3, 2.0, 4.0] {
-            let mut replay = replay(balancers, targets, OverloadConfig::default());
-            let time = ms(5_000);
-            replay.run_load(load, time, &MIX);
-            let (rejected, arrivals) = (replay.rejected, replay.attempts.len());
-            let urgent = replay.counts[&NON_IDEMPOTENT];
-            let counts = replay.take_counts();
-            let goodput = goodput(counts, &replay, time);
-            let results = format!(
-                "{balancers} balancers, load {load}: goodput {goodput:.2}, {counts:?}, \
+    for (by_priority, ex) in [(true, false), (true, true)] {
+        for (balancers, targets) in FLEETS {
+            for load in [1.1, 1.3, 2.0, 4.0] {
+                let mut replay = replay(
+                    balancers,
+                    targets,
+                    OverloadConfig {
+                        by_priority,
+                        ..OverloadConfig::default()
+                    },
+                );
+                replay.exchanges_load = ex;
+                let time = ms(5_000);
+                replay.run_load(load, time, &MIX);
+                let (rejected, arrivals) = (replay.rejected, replay.attempts.len());
+                let urgent = replay.counts[&NON_IDEMPOTENT];
+                let counts = replay.take_counts();
+                let goodput = goodput(counts, &replay, time);
+                let results = format!(
+                    "{balancers} balancers, load {load}: goodput {goodput:.2}, {counts:?}, \
                  urgent {urgent:?}, {rejected} rejected of {arrivals} flows"
-            );
-            println!("{results}");
+                );
+                println!("{by_priority} {ex} {results}");
+            }
         }
     }
 }
@@ -72,9 +82,3 @@
     let _ = (BTreeSet::<u16>::new(), by_balancer);
     false
 }
-#[test]
-fn dbg_one() {
-    let mut replay = replay(8, 40, OverloadConfig::default());
-    eprintln!("START {:?}", replay.now);
-    replay.run_load(2.0, ms(3000), &MIX);
-}
--- a/crates/cookie/tests/common/replay.rs
+++ b/crates/cookie/tests/common/replay.rs
@@ -1,7 +1,7 @@
 //! Clients and targets with few slots and short queues, simulated event by event.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
 use sequoiatrail_cookie::{
@@ -22,6 +22,8 @@
 /// Time from a response to the client's next request on the same flow.
 const THINK_TIME: Duration = Duration::from_millis(100);
 const REQUESTS_PER_FLOW: u32 = 3;
+/// Interval of reports of load.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(250);
 const MAX_ATTEMPTS: u32 = 3;
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Requests per second that a target can process.
@@ -86,6 +88,9 @@
     pub attempts: Vec<Attempt>,
     /// Requests that targets rejected.
     pub rejected: u32,
+    /// Whether the balancers tell each other their load.
+    pub exchanges_load: bool,
+    exchanged_at: Duration,
     targets: u64,
     next_client: u16,
     sequence: u64,
@@ -93,12 +98,21 @@
 
 impl Replay {
     pub fn new(balancers: usize, overload: OverloadConfig) -> Replay {
-        Replay::with_targets(balancers, TARGETS, overload)
+        Replay::of_sims(
+            TARGETS,
+            overload,
+            (0..balancers).map(|_| Sim::new(TARGETS, 0)),
+        )
     }
 
+    /// Balancers with seeds of their own.
     pub fn with_targets(balancers: usize, targets: u64, overload: OverloadConfig) -> Replay {
-        let sims = std::iter::repeat_with(|| {
-            let mut sim = Sim::new(targets, 0);
+        let sims = (0..balancers as u64).map(|seed| Sim::seeded(seed, targets, 0));
+        Replay::of_sims(targets, overload, sims)
+    }
+
+    fn of_sims(targets: u64, overload: OverloadConfig, sims: impl Iterator<Item = Sim>) -> Replay {
+        let sims = sims.map(|mut sim| {
             sim.balancer.configure(Config {
                 domain: "a".into(),
                 overload,
@@ -106,7 +120,7 @@
             });
             sim
         });
-        let sims: Vec<Sim> = sims.take(balancers).collect();
+        let sims: Vec<Sim> = sims.collect();
         Replay {
             now: sims[0].now,
             sims,
@@ -115,6 +129,8 @@
             counts: BTreeMap::new(),
             attempts: Vec::new(),
             rejected: 0,
+            exchanges_load: false,
+            exchanged_at: Duration::ZERO,
             targets,
             next_client: 1,
             sequence: 0,
@@ -142,6 +158,30 @@
         decision
     }
 
+    /// Lets the balancers tell each other their load several times a second.
+    fn exchange_load(&mut self) {
+        if !self.exchanges_load || self.now < self.exchanged_at + EXCHANGE_INTERVAL {
+            return;
+        }
+        self.exchanged_at = self.now;
+        let address = |n: usize| SocketAddr::from(([10, 1, 0, n as u8], 7_000));
+        let count = self.sims.len();
+        let now = self.now;
+        for n in 0..count {
+            let others = (0..count).filter(|other| *other != n).map(address);
+            let others = others.collect();
+            let balancer = &mut self.sims[n].balancer;
+            balancer.refresh_domain_load(now, address(n), others);
+            let Some(report) = balancer.load_report(now) else {
+                continue;
+            };
+            for other in (0..count).filter(|other| *other != n) {
+                let other = &mut self.sims[other].balancer;
+                other.record_load_report(now, address(n), report.clone());
+            }
+        }
+    }
+
     /// Requests per second that all targets together can process.
     pub fn capacity(&self) -> f64 {
         self.targets as f64 * TARGET_RPS
@@ -176,6 +216,7 @@
         }
         while let Some(((now, _), (session, event))) = self.events.pop_first() {
             self.now = now;
+            self.exchange_load();
             self.step(session, event);
             if now > begin + time {
                 break;
