--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -7,6 +7,9 @@
 use crate::silence::probe_if_suspect;
 use crate::{Balancer, FlowId, Segment, TargetKey};
 
+/// Data of the largest packet; clients acknowledge a second packet at once.
+const MAX_PACKET_DATA_BYTES: u32 = 1_200;
+
 impl Balancer {
     /// Updates flow, load and health from a packet of an open flow. Returns whether
     /// to reset the flow because its target is silent.
@@ -81,9 +84,9 @@
         let timed = flow.busy && !flow.stalled;
         target.load.clear_request(flow);
         let route = self.routes.get(seg.flow.route).filter(|_| timed);
-        if let Some(sample) =
-            route.and_then(|r| ResponseSample::new(r, now, flow.sent_at, seg.flags.fin))
-        {
+        let exact = seg.flags.fin || seg.ack.wrapping_sub(flow.acked) > MAX_PACKET_DATA_BYTES;
+        let sample = route.and_then(|r| ResponseSample::new(r, now, flow.sent_at, exact));
+        if let Some(sample) = sample {
             let service = &target.entry.service;
             self.overload
                 .record(&self.cfg.overload, now, service, sample);
--- a/crates/cookie/src/overload/admission.rs
+++ b/crates/cookie/src/overload/admission.rs
@@ -179,6 +179,9 @@
     /// Lowers the budget to the rate that was served, but to half of it at most: while
     /// packets wait in front of this VM, few requests come.
     fn lower_budget(&mut self, now: Duration, served: f64) {
+        if self.budget.is_none() {
+            self.queueing.discard_recent(now);
+        }
         let least = self.budget.unwrap_or_default() * MIN_DECREASE;
         self.budget = Some(served.max(least));
         self.has_free_slots = false;
--- a/crates/cookie/src/overload/latency.rs
+++ b/crates/cookie/src/overload/latency.rs
@@ -24,8 +24,8 @@
     pub priority: u32,
     /// Time from the request to the client's next packet.
     pub latency: Duration,
-    /// Whether the packet that shows the response was sent at once. Acknowledgements
-    /// without data may be delayed, those that close the flow are not.
+    /// Whether the packet that shows the response was sent at once: the
+    /// acknowledgement of a single packet may be delayed unless it closes the flow.
     pub exact: bool,
 }
 
--- a/crates/cookie/src/overload/queueing.rs
+++ b/crates/cookie/src/overload/queueing.rs
@@ -12,12 +12,14 @@
 use super::ResponseSample;
 
 /// Number of samples whose median updates a baseline.
-const BASELINE_BATCH: usize = 16;
+const BASELINE_BATCH: usize = 8;
 /// Weight of a batch that is slower than the baseline; a faster one replaces it.
 const SLOWER_WEIGHT: f64 = 0.1;
 /// Minimum time between two updates by slower batches: longer than a burst takes to
 /// fill queues before it shows.
 const SLOWER_INTERVAL: Duration = Duration::from_secs(1);
+/// Time within which an overload is found after it began.
+const OVERLOAD_FOUND_WITHIN: Duration = Duration::from_millis(500);
 /// Fraction of the median service time below which a response is a rejection.
 const REJECTED_BELOW: f64 = 0.25;
 /// Weight of an interval in the usual fraction of quick responses.
@@ -37,6 +39,8 @@
 #[derive(Clone, Debug, Default)]
 struct Baseline {
     median: Option<f64>,
+    /// The median before `updated_at`.
+    previous: Option<f64>,
     batch: Vec<f64>,
     updated_at: Duration,
 }
@@ -55,9 +59,17 @@
             Some(old) if latest > old => old + (latest - old) * SLOWER_WEIGHT,
             _ => latest,
         };
-        self.median = Some(median);
+        self.previous = self.median.replace(median);
         self.updated_at = now;
     }
+
+    /// Discards samples from just before an overload was found.
+    fn discard_recent(&mut self, now: Duration) {
+        self.batch.clear();
+        if now < self.updated_at + OVERLOAD_FOUND_WITHIN {
+            self.median = self.previous.or(self.median);
+        }
+    }
 }
 
 /// State of the targets' queues in one interval.
@@ -150,6 +162,14 @@
         Duration::from_secs_f64(self.allowed)
     }
 
+    /// Discards what was learned just before an overload was found.
+    pub fn discard_recent(&mut self, now: Duration) {
+        self.path.discard_recent(now);
+        for baseline in self.latencies.values_mut() {
+            baseline.discard_recent(now);
+        }
+    }
+
     /// Number of responses in this interval.
     pub fn len(&self) -> usize {
         self.delays.len()
