--- a/crates/cookie/src/overload/admission.rs
+++ b/crates/cookie/src/overload/admission.rs
@@ -30,19 +30,18 @@
 const DRAIN_TIME_S: f64 = 0.3;
 /// Smallest factor on the sent rate for queues to drain.
 const MIN_DRAIN: f64 = 0.5;
-/// Factor on the part of the allowed delay that is not used, for the fraction by which
-/// the budget rises per second.
-const RISE_OF_BUDGET: f64 = 0.5;
-/// Fraction of the demand by which it rises per second; equal fractions bring balancers
-/// together whose budgets differ.
-const RISE_OF_DEMAND: f64 = 0.02;
+/// Fraction of the demand by which the budget rises per second. Equal fractions bring
+/// balancers together whose budgets differ.
+const RISE: f64 = 0.02;
+/// The same for the part of the allowed delay that is not used.
+const RISE_UNUSED: f64 = 0.2;
 /// Delay in proportion to what is allowed that queues drain to.
 const SHORT_DELAY: f64 = 0.5;
 /// Median response time in service times below which most targets have free slots.
 const FREE_SERVICE_TIMES: f64 = 1.75;
-/// Factor on the sent rate that the budget reaches at once while targets have free
-/// slots.
-const FREE_SLOTS_FACTOR: f64 = 1.1;
+/// Fraction of the demand by which the budget exceeds the sent rate while targets have
+/// free slots.
+const FREE_SLOTS_RISE: f64 = 0.04;
 /// Fraction of the requests of some intervals whose responses may be missing in the
 /// next ones.
 const MAX_MISSING: f64 = 0.4;
@@ -210,16 +209,14 @@
     }
 
     fn raise_budget(&mut self, elapsed: Duration) {
-        let rise = self.demand.offered() * RISE_OF_DEMAND;
+        let offered = self.demand.offered();
+        let unused = (1.0 - self.last_delay).clamp(0.0, 1.0);
+        let rise = offered * (RISE + unused * RISE_UNUSED) * elapsed.as_secs_f64();
         let least = match self.has_free_slots {
-            true => self.demand.sent() * FREE_SLOTS_FACTOR,
+            true => self.demand.sent() + offered * FREE_SLOTS_RISE,
             false => 0.0,
         };
-        if let Some(budget) = &mut self.budget {
-            let unused = (1.0 - self.last_delay).clamp(0.0, 1.0);
-            *budget += (*budget * unused * RISE_OF_BUDGET + rise) * elapsed.as_secs_f64();
-            *budget = budget.max(least);
-        }
+        self.budget = self.budget.map(|budget| (budget + rise).max(least));
     }
 
     /// The budget within what this VM's link carries, and what the slots can do even if
--- a/crates/cookie/src/overload/queueing.rs
+++ b/crates/cookie/src/overload/queueing.rs
@@ -148,7 +148,7 @@
         };
         let goal = sample.goal.as_secs_f64() * goal_fraction;
         let least = path + service_time * MIN_SERVICE_TIMES;
-        let most = path + service_time * max_service_times;
+        let most = path + service_time * max_service_times.max(MIN_SERVICE_TIMES);
         self.service_times.push((latency - path) / service_time);
         let allowed = goal.clamp(least, most);
         self.allowed = allowed;
