--- a/crates/cookie/src/domain_load.rs
+++ b/crates/cookie/src/domain_load.rs
@@ -97,7 +97,7 @@
     targets: HashMap<Cookie, TargetSum>,
     /// Number of neighbors whose report counts.
     heard: usize,
-    /// Number of other balancers, as of `refreshed_at`.
+    /// Number of other balancers that run, as of `refreshed_at`.
     expected: usize,
     /// Address of this balancer.
     own: Option<SocketAddr>,
@@ -148,7 +148,7 @@
 
     /// Number of other balancers of the failure domain that are known to run.
     pub fn expected(&self) -> usize {
-        self.expected
+        self.expected.max(self.heard)
     }
 
     /// Age of the oldest report that counts; zero if there is none.
@@ -159,10 +159,11 @@
     }
 
     /// Records a report; returns whether it counts. Older ones than the last, which the
-    /// network may deliver late, don't.
+    /// network may deliver late, don't, and none does before the first
+    /// [`DomainLoad::refresh`]: this balancer takes no part in the exchange.
     pub(crate) fn record(&mut self, now: Duration, from: SocketAddr, report: LoadReport) -> bool {
         let known = self.neighbors.get(&from);
-        if known.is_some_and(|n| !n.is_newer(&report)) {
+        if self.refreshed_at.is_none() || known.is_some_and(|n| !n.is_newer(&report)) {
             return false;
         }
         if known.is_none() && self.neighbors.len() >= MAX_NEIGHBORS {
@@ -191,7 +192,6 @@
         if let Some(peer) = mentioned.filter(|peer| Some(*peer) != self.own) {
             self.record_mention(now, peer);
         }
-        self.count_expected(now);
         true
     }
 
@@ -226,11 +226,11 @@
         for report in &old {
             self.subtract(report);
         }
-        // Those that have stopped are remembered while they are known, since they would
+        // Those that have stopped are remembered while others name them, since they would
         // count as unheard otherwise.
-        let known = &self.known;
-        self.neighbors
-            .retain(|address, n| !n.is_gone(now) || known.contains(address));
+        let (known, mentioned) = (&self.known, &self.mentioned);
+        let named = |a: &SocketAddr| known.contains(a) || mentioned.contains_key(a);
+        self.neighbors.retain(|a, n| !n.is_gone(now) || named(a));
     }
 
     /// All balancers that may run, also those that were never heard.
@@ -247,8 +247,8 @@
     /// Factor on sums to include the balancers that were not heard.
     fn scale(&self, now: Duration) -> Option<f64> {
         let fresh = self.refreshed_at.is_some_and(|at| now < at + STALE_AFTER);
-        let enough = self.heard > 0 && 2 * self.heard >= self.expected;
-        (fresh && enough).then(|| self.expected as f64 / self.heard as f64)
+        let enough = self.heard > 0 && 2 * self.heard >= self.expected();
+        (fresh && enough).then(|| self.expected() as f64 / self.heard as f64)
     }
 
     fn count_expected(&mut self, now: Duration) {
--- a/crates/cookie/tests/domain_load.rs
+++ b/crates/cookie/tests/domain_load.rs
@@ -11,7 +11,9 @@
 use common::{IDEMPOTENT, Sim, data, ms};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sequoiatrail_cookie::{LoadReport, LoadRotation, LoadRotationConfig, NeighborLoad, TargetId};
+use sequoiatrail_cookie::{
+    LoadMessage, LoadReport, LoadRotation, LoadRotationConfig, NeighborLoad, TargetId,
+};
 
 /// Balancers per failure domain, of three, in fleets of 6, 23, 77 and 195.
 const DOMAINS: [usize; 4] = [2, 8, 26, 65];
@@ -19,9 +21,8 @@
 const SEEDS: usize = 3;
 const TARGETS: u64 = 20;
 const STEP: Duration = Duration::from_millis(100);
-/// Bytes of an encoded report besides its targets.
-const HEAD_BYTES: usize = 100;
-const TARGET_BYTES: usize = 6;
+/// Bytes of a datagram in front of the message: kind, version and tag.
+const HEAD_BYTES: usize = 18;
 
 fn address(number: usize) -> SocketAddr {
     ([10, 0, 0, number as u8], 7_000).into()
@@ -37,8 +38,8 @@
 }
 
 impl Member {
-    fn start(number: usize, seed: u64, flows: u16, now: Duration) -> Member {
-        let mut sim = Sim::with_seed(TARGETS, 0, seed);
+    fn start(number: usize, targets: u64, seed: u64, flows: u16, now: Duration) -> Member {
+        let mut sim = Sim::with_seed(targets, 0, seed);
         sim.now = now;
         let first = 1 + 1_000 * number as u16;
         let flows = (first..first + flows).map(|client| (client, sim.open(client, IDEMPOTENT)));
@@ -83,9 +84,13 @@
 impl Domain {
     /// A failure domain whose balancers have this many flows each.
     fn new(flows: &[u16]) -> Domain {
+        Domain::with_targets(TARGETS, flows)
+    }
+
+    fn with_targets(targets: u64, flows: &[u16]) -> Domain {
         let now = ms(100_000);
         let members = flows.iter().enumerate();
-        let members = members.map(|(n, flows)| Member::start(n, n as u64, *flows, now));
+        let members = members.map(|(n, flows)| Member::start(n, targets, n as u64, *flows, now));
         Domain {
             members: members.collect(),
             now: now + ms(1_000),
@@ -128,21 +133,26 @@
         }
         let mut report = balancer.load_report(self.now).unwrap();
         report.turn = member.rotation.turn(peers.len());
-        let room = member.rotation.report_bytes(peers.len()) - HEAD_BYTES;
-        report.targets.truncate(room / TARGET_BYTES);
-        let bytes = HEAD_BYTES + report.targets.len() * TARGET_BYTES;
+        let message = LoadMessage {
+            from: own,
+            domain: "a".into(),
+            report,
+        };
+        let encoded = message.encode(member.rotation.report_bytes(peers.len()) - HEAD_BYTES);
+        let bytes = HEAD_BYTES + encoded.len();
         let peers = member.rotation.next_peers(&peers, bytes);
         let cfg = LoadRotationConfig::default();
         member.bytes_sent += peers.len() * (bytes + cfg.header_bytes);
         for peer in peers {
             if !self.rng.random_bool(self.loss) {
-                self.deliver(own, peer, report.clone());
+                self.deliver(own, peer, &encoded);
             }
         }
     }
 
-    fn deliver(&mut self, from: SocketAddr, to: SocketAddr, report: LoadReport) {
+    fn deliver(&mut self, from: SocketAddr, to: SocketAddr, message: &[u8]) {
         let to = (0..self.members.len()).find(|n| address(*n) == to).unwrap();
+        let report = LoadMessage::decode(message).unwrap().report;
         if self.members[to].alive {
             let balancer = &mut self.members[to].sim.balancer;
             balancer.record_load_report(self.now, from, report);
@@ -230,16 +240,29 @@
     }
 }
 
+#[test]
+fn targets_that_do_not_fit_into_reports_are_others_for_each_balancer() {
+    let mut domain = Domain::with_targets(60, &[50; 65]);
+    domain.run(ms(5_000));
+    for target in (1..=60).map(TargetId) {
+        let believed = domain.members[0].believes(target).unwrap().flows;
+        let part = believed / domain.truth(0, target);
+        assert!((0.3..=1.0).contains(&part), "{target} {part}");
+    }
+}
+
 #[test]
 fn a_dead_balancer_counts_as_the_mean_and_then_not_at_all() {
     for size in [8, 26, 65] {
         let mut domain = Domain::of_size(size);
         domain.run(ms(5_000));
-        domain.members[1].alive = false;
+        // Not a seed, so that it is known from reports only.
+        domain.members[size - 1].alive = false;
         domain.run(ms(1_500));
         let expected = |d: &Domain| d.members[0].sim.balancer.domain_load().expected();
         assert_eq!(expected(&domain), size - 1);
-        domain.run(ms(3_500));
+        // From when it has stopped, also while others still mention it.
+        domain.run(ms(1_700));
         assert_eq!(expected(&domain), size - 2);
         let error = domain.worst_error();
         assert!(error < 0.1, "{size}: {error}");
@@ -251,7 +274,7 @@
     let mut domain = Domain::new(&[3, 4, 5]);
     domain.run(ms(2_000));
     let late = domain.members[1].sim.balancer.load_report(domain.now);
-    domain.members[1] = Member::start(1, 99, 10, domain.now);
+    domain.members[1] = Member::start(1, TARGETS, 99, 10, domain.now);
     domain.members[1].rotation =
         LoadRotation::new(LoadRotationConfig::default(), address(1), domain.now - STEP);
     domain.run(ms(200));
@@ -269,10 +292,21 @@
     let sender = &mut domain.members[1].sim.balancer;
     let (first, second) = (sender.load_report(now), sender.load_report(now));
     let balancer = &mut domain.members[0].sim.balancer;
+    balancer.refresh_domain_load(now, address(0), vec![from]);
     assert!(balancer.record_load_report(now, from, second.unwrap()));
     assert!(!balancer.record_load_report(now, from, first.unwrap()));
 }
 
+#[test]
+fn a_balancer_that_takes_no_part_keeps_no_reports() {
+    let mut domain = Domain::new(&[3, 4]);
+    let now = domain.now;
+    let report = domain.members[1].sim.balancer.load_report(now).unwrap();
+    let balancer = &mut domain.members[0].sim.balancer;
+    assert!(!balancer.record_load_report(now, address(1), report));
+    assert_eq!(balancer.domain_load().heard(), 0);
+}
+
 #[test]
 fn two_balancers_of_very_unlike_load_know_of_each_other() {
     let mut domain = Domain::new(&[1, 60]);
