--- a/crates/cookie/src/overload/admission.rs
+++ b/crates/cookie/src/overload/admission.rs
@@ -36,7 +36,7 @@
 /// The same for the part of the allowed delay that is not used.
 const RISE_UNUSED: f64 = 0.2;
 /// Delay in proportion to what is allowed that queues drain to.
-const SHORT_DELAY: f64 = 0.5;
+const SHORT_DELAY: f64 = 0.8;
 /// Median response time in service times below which most targets have free slots.
 const FREE_SERVICE_TIMES: f64 = 1.75;
 /// Fraction of the demand by which the budget exceeds the sent rate while targets have
