--- a/crates/cookie/src/overload_config.rs
+++ b/crates/cookie/src/overload_config.rs
@@ -50,7 +50,7 @@
             min_limit: 2,
             urgent_factor: 1.25,
             by_priority: true,
-            max_service_times: 3.5,
+            max_service_times: 5.0,
             epoch: Duration::from_secs(1),
             link_bytes_per_s: None,
             packet_overhead_bytes: 72,
