--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -111,6 +111,19 @@
         self.overload.limit(now, service)
     }
 
+    /// Requests per second that may be sent to the targets of a service through this
+    /// balancer; `None` while all fit, or if its routes don't differ in priority.
+    pub fn request_budget(&self, now: Duration, service: &str) -> Option<f64> {
+        self.overload.budget(now, service)
+    }
+
+    /// Sets the wall clock: `wall` is the time since the Unix epoch. Balancers derive
+    /// from it whom they refuse, so that they refuse the same clients; a wrong clock
+    /// only makes them differ.
+    pub fn set_wall_clock(&mut self, now: Duration, wall: Duration) {
+        self.overload.set_wall_clock(now, wall);
+    }
+
     /// Whether there are targets that new flows may go to and none can be reached. This
     /// VM is then likely partitioned from them, while other VMs may not be. Targets of
     /// evacuated failure domains don't count, even if only they can be reached.
@@ -176,6 +189,7 @@
     ) -> ManifestOutcome {
         let outcome = self.routes.apply(&manifest, at);
         if outcome != ManifestOutcome::Stale {
+            self.overload.apply_manifest(&manifest);
             self.manifest = Some(manifest);
         }
         outcome
@@ -276,7 +290,7 @@
         self.warmup.sweep(now);
         self.own_load.rates.sweep(now);
         self.paces.sweep(now);
-        let overloads = self.overload.take_changes(now);
+        let overloads = self.overload.take_changes(&self.cfg.overload, now);
         self.pending.overloads.extend(overloads);
         self.unknown.sweep(now, self.cfg.flow_max_age);
         let retention = self.cfg.flow_max_age + idle;
--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -7,6 +7,9 @@
 use crate::silence::probe_if_suspect;
 use crate::{Balancer, FlowId, Segment, TargetKey};
 
+/// Data of the largest packet; clients acknowledge a second packet at once.
+const MAX_PACKET_DATA_BYTES: u32 = 1_200;
+
 impl Balancer {
     /// Updates flow, load and health from a packet of an open flow. Returns whether
     /// to reset the flow because its target is silent.
@@ -64,9 +67,17 @@
         };
         target.health.record_response(now);
         self.attempts.record_response(&seg.flow);
+        if !flow.open && flow.syn_retransmits == 0 {
+            let time = now.saturating_sub(flow.sent_at);
+            let service = &target.entry.service;
+            self.overload
+                .record_handshake(&self.cfg.overload, now, service, time);
+        }
         if flow.busy {
             let rates = &mut self.own_load.rates;
             rates.record_response(now, &target.entry.service);
+            let cfg = &self.cfg.overload;
+            self.overload.record_answer(cfg, &target.entry.service);
         }
         if flow.busy || !flow.open {
             self.evidence.record_answer(now, flow.stalled);
@@ -81,7 +92,9 @@
             self.paces.record(now, id, seg.flow.route, latency);
         }
         let route = self.routes.get(seg.flow.route).filter(|_| timed);
-        if let Some(sample) = route.and_then(|r| ResponseSample::new(r, now, flow.sent_at)) {
+        let exact = seg.flags.fin || seg.ack.wrapping_sub(flow.acked) > MAX_PACKET_DATA_BYTES;
+        let sample = route.and_then(|r| ResponseSample::new(r, now, flow.sent_at, exact));
+        if let Some(sample) = sample {
             let service = &target.entry.service;
             self.overload
                 .record(&self.cfg.overload, now, service, sample);
@@ -118,8 +131,13 @@
         let route = self.routes.get(seg.flow.route);
         // Further packets of a request find it unanswered.
         if let Some(route) = route.filter(|_| !flow.busy) {
+            let service = &target.entry.service;
             let rates = &mut self.own_load.rates;
-            rates.record_request(now, &target.entry.service, route.priority);
+            rates.record_request(now, service, route.priority);
+            let cfg = &self.cfg.overload;
+            let age = now.saturating_sub(flow.opened_at);
+            let age = Some(age).filter(|_| flow.seq > 0);
+            self.overload.record_request(cfg, service, route, age);
         }
         let neighbors = self.domain_load.target(now, target.entry.id);
         flow.found_free = target.has_free_slot(neighbors);
@@ -164,6 +182,7 @@
         };
         target.load.flows += 1;
         let mut flow = Flow {
+            opened_at: Duration::ZERO,
             open: true,
             acked: seg.ack,
             seq: seg.seq,
--- a/crates/cookie/src/overload.rs
+++ b/crates/cookie/src/overload.rs
@@ -12,29 +12,62 @@
 //! that share the targets reach similar limits without telling each other. Since the
 //! limit counts requests in flight, refusals end as soon as responses arrive or the
 //! load ends.
+//!
+//! A service whose routes differ in priority and whose flows mostly stay open is limited
+//! by [`admission`] instead, from demand against capacity and the queues at its targets.
 
+mod admission;
+mod demand;
+mod ladder;
 mod latency;
+mod link;
+mod lottery;
+mod order;
 mod priorities;
+mod queueing;
 mod service;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use hashbrown::HashMap;
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use hashbrown::{HashMap, HashSet};
 
+use admission::Admission;
 pub(crate) use latency::ResponseSample;
+use link::LinkUse;
 use service::ServiceLoad;
 
-use crate::OverloadConfig;
+use crate::{Manifest, OverloadConfig, PriorityDemand, Route};
+
+/// Requests that other balancers have, answered or not, per second.
+pub(crate) fn offered_per_s(demand: &[PriorityDemand]) -> f64 {
+    let requests = demand
+        .iter()
+        .map(|d| d.requests_per_s + d.refused_per_s / demand::ATTEMPTS);
+    requests.sum()
+}
 
 /// Start, state or end of refusals for a service; logged.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct OverloadChange {
     /// The service.
     pub service: Arc<str>,
-    /// Limit on its requests in flight through this balancer; `None` if it is no
-    /// longer overloaded.
+    /// Limit on its requests in flight through this balancer; `None` if it has none.
     pub limit: Option<u32>,
+    /// Requests per second that this balancer may send to its targets; `None` if all
+    /// fit, or if its routes don't differ in priority.
+    pub budget_per_s: Option<u32>,
+    /// Requests per second that the usable slots can process for all balancers; `None`
+    /// before enough responses were seen.
+    pub slots_per_s: Option<u32>,
+    /// Requests per second that this VM's link carries; `None` if that is unknown.
+    pub link_per_s: Option<u32>,
+    /// Demand by priority through this balancer, the most urgent first; empty if its
+    /// routes don't differ in priority.
+    pub demand: Vec<PriorityDemand>,
     /// Requests in flight when it was last checked.
     pub in_flight: u32,
     /// Responses per second in the last interval.
@@ -45,13 +78,158 @@
     pub refused: u32,
 }
 
+impl OverloadChange {
+    /// Whether the service is no longer overloaded.
+    pub fn has_ended(&self) -> bool {
+        self.limit.is_none() && self.budget_per_s.is_none()
+    }
+}
+
+/// What the targets of a service and this VM can do, for one interval.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Capacity {
+    /// Slots of the targets that are neither silent nor suspect; those of cold targets
+    /// count in part.
+    pub slots: f64,
+    /// Requests per second of the other balancers, as far as they are known.
+    pub others_per_s: f64,
+    /// Requests per second that this VM's link carries, if that is known.
+    pub link_per_s: Option<f64>,
+}
+
+/// A new flow of a service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NewFlow {
+    /// Priority of the route.
+    pub priority: u32,
+    /// Address of the client.
+    pub client: Ipv4Addr,
+    /// Requests of the service that are unanswered, through this balancer.
+    pub in_flight: u32,
+    /// Whether a target has no more requests than its slots and a short queue.
+    pub has_room: bool,
+}
+
 /// Load of all services.
 #[derive(Debug, Default)]
 pub(crate) struct Overload {
     services: HashMap<Arc<str>, ServiceLoad>,
+    /// Services whose routes with a latency goal differ in priority.
+    by_priority: HashSet<Arc<str>>,
+    admissions: HashMap<Arc<str>, Admission>,
+    /// Time since the Unix epoch minus the monotonic time.
+    wall_offset: Duration,
+    link: LinkUse,
 }
 
 impl Overload {
+    /// Finds the services whose routes differ in priority.
+    pub fn apply_manifest(&mut self, manifest: &Manifest) {
+        let mut priorities: BTreeMap<&Arc<str>, HashSet<u32>> = BTreeMap::new();
+        let routes = manifest.routes.iter();
+        for route in routes.filter(|r| r.latency_goal.is_some()) {
+            for share in &route.shares {
+                let used = priorities.entry(&share.service).or_default();
+                used.insert(route.priority);
+            }
+        }
+        let differ = priorities.into_iter().filter(|(_, used)| used.len() > 1);
+        self.by_priority = differ.map(|(service, _)| Arc::clone(service)).collect();
+        let by_priority = &self.by_priority;
+        self.admissions.retain(|s, _| by_priority.contains(s));
+    }
+
+    /// Sets the wall clock, which all balancers derive the same epochs from.
+    pub fn set_wall_clock(&mut self, now: Duration, wall: Duration) {
+        self.wall_offset = wall.saturating_sub(now);
+    }
+
+    fn uses_priorities(&self, cfg: &OverloadConfig, service: &str) -> bool {
+        cfg.by_priority && self.by_priority.contains(service)
+    }
+
+    fn admission(&mut self, cfg: &OverloadConfig, service: &Arc<str>) -> Option<&mut Admission> {
+        if !self.uses_priorities(cfg, service) {
+            return None;
+        }
+        Some(self.admissions.entry(Arc::clone(service)).or_default())
+    }
+
+    /// Records the time from a SYN to the client's next packet.
+    pub fn record_handshake(
+        &mut self,
+        cfg: &OverloadConfig,
+        now: Duration,
+        service: &Arc<str>,
+        time: Duration,
+    ) {
+        if let Some(admission) = self.admission(cfg, service) {
+            admission.record_handshake(now, time);
+        }
+    }
+
+    /// Counts a response, also one whose latency says nothing.
+    pub fn record_answer(&mut self, cfg: &OverloadConfig, service: &Arc<str>) {
+        if let Some(admission) = self.admission(cfg, service) {
+            admission.record_answer();
+        }
+    }
+
+    /// Counts a request; `age` is that of its flow if it is not the first one there.
+    pub fn record_request(
+        &mut self,
+        cfg: &OverloadConfig,
+        service: &Arc<str>,
+        route: &Route,
+        age: Option<Duration>,
+    ) {
+        self.link.record_request();
+        if let (Some(age), Some(admission)) = (age, self.admission(cfg, service)) {
+            admission.record_later_request(route.priority, age < cfg.epoch);
+        }
+    }
+
+    /// Counts a packet that is forwarded with this much data.
+    pub fn record_forwarded(&mut self, cfg: &OverloadConfig, data_bytes: u16) {
+        let bytes = cfg.packet_overhead_bytes + u32::from(data_bytes);
+        self.link.record_forwarded(bytes);
+    }
+
+    /// Counts a reset.
+    pub fn record_reset(&mut self, cfg: &OverloadConfig) {
+        self.link.record_reset(cfg.packet_overhead_bytes);
+    }
+
+    /// Whether [`Overload::update`] is due before a new flow of the service.
+    pub fn is_due(&self, cfg: &OverloadConfig, now: Duration, service: &str) -> bool {
+        let admission = self.admissions.get(service);
+        self.uses_priorities(cfg, service) && admission.is_none_or(|a| a.is_due(cfg, now))
+    }
+
+    /// Ends an interval of a service whose routes differ in priority.
+    pub fn update(
+        &mut self,
+        cfg: &OverloadConfig,
+        now: Duration,
+        service: &Arc<str>,
+        capacity: Capacity,
+    ) {
+        let mut admissions = self.admissions.values();
+        let overloaded = admissions.any(|a| a.budget_at(now).is_some());
+        self.link.update(now, cfg.interval, overloaded);
+        let link_per_s = cfg
+            .link_bytes_per_s
+            .and_then(|capacity| self.link.requests_per_s(capacity));
+        let capacity = Capacity {
+            link_per_s,
+            ..capacity
+        };
+        let wall = now + self.wall_offset;
+        if let Some(admission) = self.admission(cfg, service) {
+            admission.update(cfg, now, wall, capacity);
+        }
+    }
+
     /// Records a response to a request that was not retransmitted.
     pub fn record(
         &mut self,
@@ -62,22 +240,36 @@
     ) {
         let load = self.services.entry(Arc::clone(service)).or_default();
         load.record(cfg, now, sample);
+        if let Some(admission) = self.admission(cfg, service) {
+            admission.record_response(cfg, now, sample);
+        }
     }
 
-    /// Whether to accept a new flow while `in_flight` requests of the service are
-    /// unanswered.
+    /// Whether to accept a new flow.
     pub fn admits(
         &mut self,
         cfg: &OverloadConfig,
         now: Duration,
-        service: &str,
-        priority: u32,
-        in_flight: u32,
+        service: &Arc<str>,
+        flow: NewFlow,
     ) -> bool {
-        let Some(load) = self.services.get_mut(service) else {
-            return true;
+        let by_budget = self
+            .admission(cfg, service)
+            .filter(|admission| admission.has_lasting_flows(cfg))
+            .map(|admission| admission.admits(cfg, flow));
+        let load = self.services.get_mut(service);
+        let admitted = match (by_budget, load) {
+            (Some(admitted), Some(load)) => load.record_decision(flow.in_flight, admitted),
+            (Some(admitted), None) => admitted,
+            (None, Some(load)) => load.admits(cfg, now, flow.priority, flow.in_flight),
+            (None, None) => true,
         };
-        load.admits(cfg, now, priority, in_flight)
+        if by_budget.is_none()
+            && let Some(admission) = self.admission(cfg, service)
+        {
+            admission.record_attempt(flow.priority, admitted);
+        }
+        admitted
     }
 
     /// Limit on a service's requests in flight; `None` if it is not overloaded.
@@ -85,6 +277,17 @@
         self.services.get(service)?.limit_at(now)
     }
 
+    /// Whether the service is overloaded, by the limit or the budget.
+    pub fn is_overloaded(&self, now: Duration, service: &str) -> bool {
+        self.limit(now, service).is_some() || self.budget(now, service).is_some()
+    }
+
+    /// Requests per second that may be sent to the targets of a service; `None` while
+    /// all fit.
+    pub fn budget(&self, now: Duration, service: &str) -> Option<f64> {
+        self.admissions.get(service)?.budget_at(now)
+    }
+
     /// Whether a request with this latency goal that is unanswered for `age` takes
     /// many times as long as the service's fastest ones.
     pub fn is_abnormal(&self, service: &str, goal: Duration, age: Duration) -> bool {
@@ -94,11 +297,26 @@
 
     /// Returns the services that are overloaded, and those that no longer are since
     /// the last call.
-    pub fn take_changes(&mut self, now: Duration) -> Vec<OverloadChange> {
-        let services = self.services.iter_mut();
-        services
-            .filter_map(|(service, load)| load.take_change(now, service))
-            .collect()
+    pub fn take_changes(&mut self, cfg: &OverloadConfig, now: Duration) -> Vec<OverloadChange> {
+        let admissions = &mut self.admissions;
+        let mut changes = Vec::new();
+        for (service, load) in &mut self.services {
+            let admission = admissions.get_mut(service);
+            let admission = admission.filter(|a| a.has_lasting_flows(cfg));
+            let budget = admission.as_ref().and_then(|a| a.budget_at(now));
+            let Some(mut change) = load.take_change(now, service, budget.is_some()) else {
+                continue;
+            };
+            if let Some(admission) = admission {
+                change.limit = None;
+                change.budget_per_s = budget.map(|b| b.round() as u32);
+                change.slots_per_s = admission.slots_per_s().map(|s| s.round() as u32);
+                change.link_per_s = admission.link_per_s().map(|l| l.round() as u32);
+                change.demand = admission.demand().collect();
+            }
+            changes.push(change);
+        }
+        changes
     }
 
     /// Discards responses that a pause of this process may have delayed.
@@ -106,5 +324,8 @@
         for load in self.services.values_mut() {
             load.reset();
         }
+        for admission in self.admissions.values_mut() {
+            admission.reset();
+        }
     }
 }
--- a/crates/cookie/src/overload_config.rs
+++ b/crates/cookie/src/overload_config.rs
@@ -22,6 +22,25 @@
     pub min_limit: u32,
     /// Factor on the limit for the most urgent route of a service.
     pub urgent_factor: f64,
+    /// Whether a service whose routes differ in priority is limited by its demand
+    /// against its capacity, the least urgent first, instead of by requests in flight.
+    pub by_priority: bool,
+    /// Fraction of a service's requests on flows that had one before, from which that
+    /// applies. If most flows carry one request, the limit on requests in flight
+    /// controls all of them.
+    pub min_lasting: f64,
+    /// Time that a response may take in multiples of the service time, the time in the
+    /// target's queue included, even if its goal allows more: targets reject what
+    /// exceeds a short queue.
+    pub max_service_times: f64,
+    /// Time for which a refused client stays refused; then others are.
+    pub epoch: Duration,
+    /// Bytes per second that the VM's link carries in each direction; `None` if unknown.
+    pub link_bytes_per_s: Option<f64>,
+    /// Bytes of headers that each packet takes on the link.
+    pub packet_overhead_bytes: u32,
+    /// Key of the order in which clients are refused; the same on all balancers.
+    pub key: u64,
 }
 
 impl Default for OverloadConfig {
@@ -34,6 +53,13 @@
             slow_intervals: 2,
             min_limit: 2,
             urgent_factor: 1.25,
+            by_priority: true,
+            min_lasting: 0.25,
+            max_service_times: 5.0,
+            epoch: Duration::from_secs(1),
+            link_bytes_per_s: None,
+            packet_overhead_bytes: 72,
+            key: 0,
         }
     }
 }
--- a/crates/cookie/src/place_flow.rs
+++ b/crates/cookie/src/place_flow.rs
@@ -47,7 +47,7 @@
         cold_bound: Option<u32>,
     ) -> Vec<Candidate> {
         // While requests wait at all targets, latencies show queues rather than paces.
-        let overloaded = self.overload.limit(now, service).is_some();
+        let overloaded = self.overload.is_overloaded(now, service);
         let keys = self.directory.for_service(service).to_vec();
         let mut candidates = Vec::with_capacity(keys.len());
         for key in keys {
--- a/crates/cookie/tests/common/replay.rs
+++ b/crates/cookie/tests/common/replay.rs
@@ -1,6 +1,7 @@
 //! Clients and targets with few slots and short queues, simulated event by event.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
 use sequoiatrail_cookie::{
@@ -21,15 +22,21 @@
 /// Time from a response to the client's next request on the same flow.
 const THINK_TIME: Duration = Duration::from_millis(100);
 const REQUESTS_PER_FLOW: u32 = 3;
+/// Interval of reports of load.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(250);
 const MAX_ATTEMPTS: u32 = 3;
 const RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Requests per second that all targets together can process.
-const CAPACITY_RPS: f64 = (TARGETS as usize * SLOTS) as f64 / 0.030;
+/// Requests per second that a target can process.
+const TARGET_RPS: f64 = SLOTS as f64 / 0.030;
+/// Number of client addresses; each opens a flow now and then.
+const USERS: u16 = 1_000;
 
 /// State of a client's flow.
 #[derive(Clone, Copy)]
 struct Session {
     client: u16,
+    /// Address of the client; the same for all attempts.
+    user: u16,
     port: u16,
     cookie: Cookie,
     /// Requests completed on this flow.
@@ -61,6 +68,16 @@
     pub given_up: u32,
 }
 
+/// Decision on the first SYN of a flow.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt {
+    pub at: Duration,
+    pub balancer: usize,
+    pub user: u16,
+    pub port: u16,
+    pub admitted: bool,
+}
+
 /// Clients and targets, with balancers that each see their share of the flows.
 pub struct Replay {
     pub sims: Vec<Sim>,
@@ -70,19 +87,34 @@
     /// Factor on the service time of slow targets.
     pub slow: BTreeMap<TargetId, u32>,
     pub counts: BTreeMap<u16, Counts>,
+    pub attempts: Vec<Attempt>,
+    /// Requests that targets rejected.
+    pub rejected: u32,
+    /// Whether the balancers tell each other their load.
+    pub exchanges_load: bool,
+    exchanged_at: Duration,
+    targets: u64,
     next_client: u16,
     sequence: u64,
 }
 
 impl Replay {
     pub fn new(balancers: usize, overload: OverloadConfig) -> Replay {
-        Replay::with_targets(balancers, overload, TARGETS)
+        Replay::of_sims(
+            TARGETS,
+            overload,
+            (0..balancers).map(|_| Sim::new(TARGETS, 0)),
+        )
     }
 
-    /// Balancers with `targets` targets instead of `TARGETS`.
-    pub fn with_targets(balancers: usize, overload: OverloadConfig, targets: u64) -> Replay {
-        let sims = std::iter::repeat_with(|| {
-            let mut sim = Sim::new(targets, 0);
+    /// Balancers with seeds of their own.
+    pub fn with_targets(balancers: usize, targets: u64, overload: OverloadConfig) -> Replay {
+        let sims = (0..balancers as u64).map(|seed| Sim::with_seed(targets, 0, seed));
+        Replay::of_sims(targets, overload, sims)
+    }
+
+    fn of_sims(targets: u64, overload: OverloadConfig, sims: impl Iterator<Item = Sim>) -> Replay {
+        let sims = sims.map(|mut sim| {
             sim.balancer.configure(Config {
                 domain: "a".into(),
                 overload,
@@ -90,7 +122,7 @@
             });
             sim
         });
-        let sims: Vec<Sim> = sims.take(balancers).collect();
+        let sims: Vec<Sim> = sims.collect();
         Replay {
             now: sims[0].now,
             sims,
@@ -98,17 +130,64 @@
             servers: BTreeMap::new(),
             slow: BTreeMap::new(),
             counts: BTreeMap::new(),
+            attempts: Vec::new(),
+            rejected: 0,
+            exchanges_load: false,
+            exchanged_at: Duration::ZERO,
+            targets,
             next_client: 1,
             sequence: 0,
         }
     }
 
-    /// Decides on a packet at the balancer that its client's packets go to.
-    fn decide(&mut self, seg: Segment) -> Decision {
-        let balancer = usize::from(seg.flow.client.port()) % self.sims.len();
+    /// Decides on a packet at the balancer that its flow's packets go to.
+    fn decide(&mut self, user: u16, mut seg: Segment) -> Decision {
+        let port = seg.flow.client.port();
+        let [high, low] = user.to_be_bytes();
+        seg.flow.client = SocketAddrV4::new(Ipv4Addr::new(100, 65, high, low), port);
+        let balancer = usize::from(port) % self.sims.len();
         let sim = &mut self.sims[balancer];
         sim.now = self.now;
-        sim.decide(seg)
+        let decision = sim.decide(seg);
+        if seg.flags.syn {
+            self.attempts.push(Attempt {
+                at: self.now,
+                balancer,
+                user,
+                port: seg.flow.route.port(),
+                admitted: decision != Decision::Reset(ResetReason::Overloaded),
+            });
+        }
+        decision
+    }
+
+    /// Lets the balancers tell each other their load several times a second.
+    fn exchange_load(&mut self) {
+        if !self.exchanges_load || self.now < self.exchanged_at + EXCHANGE_INTERVAL {
+            return;
+        }
+        self.exchanged_at = self.now;
+        let address = |n: usize| SocketAddr::from(([10, 1, 0, n as u8], 7_000));
+        let count = self.sims.len();
+        let now = self.now;
+        for n in 0..count {
+            let others = (0..count).filter(|other| *other != n).map(address);
+            let others = others.collect();
+            let balancer = &mut self.sims[n].balancer;
+            balancer.refresh_domain_load(now, address(n), others);
+            let Some(report) = balancer.load_report(now) else {
+                continue;
+            };
+            for other in (0..count).filter(|other| *other != n) {
+                let other = &mut self.sims[other].balancer;
+                other.record_load_report(now, address(n), report.clone());
+            }
+        }
+    }
+
+    /// Requests per second that all targets together can process.
+    pub fn capacity(&self) -> f64 {
+        self.targets as f64 * TARGET_RPS
     }
 
     /// Lets all balancers report their state.
@@ -130,7 +209,7 @@
     /// Runs evenly spaced clients that generate `load_factor` times the capacity.
     pub fn run_load(&mut self, load_factor: f64, time: Duration, ports: &[u16]) {
         let begin = self.now;
-        let flows = CAPACITY_RPS * load_factor / f64::from(REQUESTS_PER_FLOW);
+        let flows = self.capacity() * load_factor / f64::from(REQUESTS_PER_FLOW);
         let count = (flows * time.as_secs_f64()) as u32;
         for n in 0..count {
             let at = begin + time * n / count;
@@ -140,6 +219,7 @@
         }
         while let Some(((now, _), (session, event))) = self.events.pop_first() {
             self.now = now;
+            self.exchange_load();
             self.step(session, event);
             if now > begin + time {
                 break;
@@ -148,9 +228,10 @@
     }
 
     fn session(&mut self, port: u16, requested_at: Duration) -> Session {
-        self.next_client += 1;
+        self.next_client = self.next_client.wrapping_add(1);
         Session {
             client: self.next_client,
+            user: self.next_client % USERS,
             port,
             cookie: Cookie(0),
             completed: 0,
@@ -170,7 +251,7 @@
 
     fn open(&mut self, mut session: Session) {
         let now = self.now;
-        let decision = self.decide(syn(session.client, session.port, 0));
+        let decision = self.decide(session.user, syn(session.client, session.port, 0));
         if decision == Decision::Reset(ResetReason::Overloaded) {
             return self.retry(session);
         }
@@ -187,7 +268,7 @@
             session.completed + 1,
             session.completed + 1,
         );
-        forwarded(self.decide(seg));
+        forwarded(self.decide(session.user, seg));
         let now = self.now;
         let service_time = self.service_time(target);
         let server = self.servers.entry(target).or_default();
@@ -198,12 +279,14 @@
         if server.queue.len() < QUEUE_LEN {
             return server.queue.push_back(session);
         }
-        self.decide(ack(
+        self.rejected += 1;
+        let seg = ack(
             session.client,
             session.port,
             session.cookie,
             session.completed + 2,
-        ));
+        );
+        self.decide(session.user, seg);
         self.retry(session);
     }
 
@@ -230,7 +313,7 @@
             session.cookie,
             session.completed + 1,
         );
-        forwarded(self.decide(seg));
+        forwarded(self.decide(session.user, seg));
         let now = self.now;
         let counts = self.counts.entry(session.port).or_default();
         match now - session.requested_at < LATENCY_GOAL {
@@ -253,6 +336,7 @@
         let again = Session {
             attempt: session.attempt + 1,
             completed: 0,
+            user: session.user,
             ..self.session(session.port, session.requested_at)
         };
         let now = self.now;
--- a/crates/cookie/tests/uneven_targets.rs
+++ b/crates/cookie/tests/uneven_targets.rs
@@ -14,7 +14,7 @@
 
 /// Two balancers and ten targets under load, before one of them turns slow.
 fn ten_targets() -> Replay {
-    let mut replay = Replay::with_targets(2, OverloadConfig::default(), 10);
+    let mut replay = Replay::with_targets(2, 10, OverloadConfig::default());
     replay.run_load(LOAD, ms(2_000), &[IDEMPOTENT]);
     replay.take_counts();
     replay
--- a/crates/daemon/src/cookie/start.rs
+++ b/crates/daemon/src/cookie/start.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use sequoiatrail_adapter::Kind;
-use sequoiatrail_cookie::{Balancer, Config, PeerInfo, Peers, PeersConfig, TargetId, WarmupConfig};
+use sequoiatrail_cookie::{
+    Balancer, Config, OverloadConfig, PeerInfo, Peers, PeersConfig, TargetId, WarmupConfig,
+};
 use sequoiatrail_events::{Event, Log};
 use sequoiatrail_settings::Settings;
 use sequoiatrail_types::{Clock, SystemClock};
@@ -36,6 +38,8 @@
 /// Peers per response in the own failure domain if cold targets have a quota, whose
 /// shares depend on how many balancers are known.
 const QUOTA_SAMPLE_SIZE: usize = 32;
+/// Bytes per second in one Mbit/s.
+const BYTES_PER_MBIT: f64 = 125_000.0;
 
 /// Starts all threads and servers.
 pub(super) fn start(file: PathBuf, settings: Settings, log: Log) -> Result<CookieDaemon> {
@@ -255,6 +259,27 @@
             overload_factor: settings.cookie.cold_flow_factor,
             tolerance: settings.cookie.cold_flow_tolerance,
         },
+        overload: OverloadConfig {
+            key: admission_key(settings),
+            link_bytes_per_s: link_bytes_per_s(settings),
+            ..OverloadConfig::default()
+        },
         ..Config::default()
     }
 }
+
+/// Bytes per second that the VM's link carries, if the settings say so.
+fn link_bytes_per_s(settings: &Settings) -> Option<f64> {
+    let mbps = settings.cookie.link_mbps;
+    (mbps > 0.0).then_some(mbps * BYTES_PER_MBIT)
+}
+
+/// Key of the order in which clients are refused, derived from the key that all
+/// balancers share; 0 without one.
+fn admission_key(settings: &Settings) -> u64 {
+    let Ok(key) = Key::new(settings.peers.key.as_bytes()) else {
+        return 0;
+    };
+    let tag = key.tag(&[b"admission"]);
+    u64::from_be_bytes(std::array::from_fn(|n| tag[n]))
+}
