--- a/crates/cookie/src/evidence.rs
+++ b/crates/cookie/src/evidence.rs
@@ -16,9 +16,9 @@
 
 /// Length of the spans in which requests are counted.
 const SPAN: Duration = Duration::from_millis(250);
-/// Number of spans that count; together longer than clients take for the first three
-/// retransmissions (1.4 s).
-const MAX_SPANS: usize = 8;
+/// Number of spans that count; together twice the longest interval between two
+/// retransmissions (1.6 s), as requests are answered that much later than a loss.
+const MAX_SPANS: usize = 13;
 /// Number of spans that show a trouble that has just begun.
 const RECENT_SPANS: usize = 3;
 
--- a/crates/cookie/src/health.rs
+++ b/crates/cookie/src/health.rs
@@ -8,8 +8,8 @@
 //! Packets alone only make a target suspect, since a busy target looks the same as
 //! a dead one. A suspect target is probed with a plain connection, and only a
 //! failed probe marks it silent, unless packets to targets that live are lost too.
-//! Its flows are then reset so that clients can retry
-//! idempotent requests on another target before they time out.
+//! Its flows are then reset so that clients can retry idempotent requests on another
+//! target before they time out.
 
 use std::time::Duration;
 
