--- a/crates/cookie/tests/uneven_targets.rs
+++ b/crates/cookie/tests/uneven_targets.rs
@@ -8,9 +8,8 @@
 use common::{IDEMPOTENT, flow, ms};
 use sequoiatrail_cookie::{OverloadConfig, Paces, TargetId};
 
-/// Load in multiples of the capacity of the replay's usual four targets: 0.4 of that
-/// of ten.
-const LOAD: f64 = 1.0;
+/// Load in multiples of the capacity of the targets.
+const LOAD: f64 = 0.4;
 
 /// Two balancers and ten targets under load, before one of them turns slow.
 fn ten_targets() -> Replay {
