refactor(cookie): names and comments that stopped a newcomer

Change: modules are named for what they compute (neighbor_cost, cross_domain_share, priority_shares, client_rank, priority_order), admission of a new flow has a file of its own, comments that no longer matched are mended.

--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -91,7 +91,7 @@
         self.cfg = cfg;
     }
 
-    /// Resets the revisions of the lists, so that the next ones apply whatever its
+    /// Resets the revisions of the lists, so that the next ones apply whatever their
     /// revision. Used when switching to another store.
     pub fn forget_revision(&mut self) {
         self.directory.forget_revision();
@@ -223,8 +223,8 @@
         events
     }
 
-    /// `isolated` is whether this balancer reached no target before the changes: one that
-    /// joins then does not end that before it answers.
+    /// Resets the flows of targets that were lost. If no target could be reached before
+    /// the changes (`isolated`), those that joined count as unreachable until they answer.
     pub(crate) fn handle_target_events(
         &mut self,
         isolated: bool,
--- a/crates/cookie/src/spill.rs
+++ b/crates/cookie/src/cross_domain_share.rs
@@ -14,7 +14,11 @@
 
 /// Share of a service's new flows to place in other failure domains, between 0 and 1,
 /// while the other balancers of this one have `others` requests of it in flight.
-pub(crate) fn spill_share(cfg: &PlacementConfig, candidates: &[Candidate], others: f64) -> f64 {
+pub(crate) fn cross_domain_share(
+    cfg: &PlacementConfig,
+    candidates: &[Candidate],
+    others: f64,
+) -> f64 {
     // Requests that run for long no longer count as in flight, but as busy.
     let own = candidates.iter().map(|c| c.load.busy.max(c.load.in_flight));
     let in_flight = f64::from(own.sum::<u32>()) + others;
--- a/crates/cookie/src/decide.rs
+++ b/crates/cookie/src/decide.rs
@@ -6,18 +6,10 @@
 
 use crate::decision::{Decision, DropReason, PlaceReason, ResetReason};
 use crate::flows::Flow;
-use crate::overload::{Capacity, NewFlow, offered_per_s};
 use crate::presence::Target;
 use crate::silence::probe_if_suspect;
 use crate::{Balancer, Cookie, FlowId, Route, Segment, TargetKey};
 
-/// Part of a cold target's slots that counts as capacity; it takes about twice as long.
-const COLD_PART: f64 = 0.5;
-/// Requests per slot at which the queue of a target is so long that it rejects more.
-const FULL_PER_SLOT: f64 = 4.0;
-/// Part of a service's slots that counts as usable whatever the targets look like.
-const MIN_USABLE_PART: f64 = 0.5;
-
 impl Balancer {
     /// Decides what to do with a client's packet.
     pub fn decide(&mut self, now: Duration, seg: &Segment) -> Decision {
@@ -100,63 +92,6 @@
         self.forward(key, Some(seg), reason)
     }
 
-    /// Whether the service is not overloaded, so that a new flow is accepted.
-    fn admits(&mut self, now: Duration, service: &Arc<str>, seg: &Segment) -> bool {
-        self.expire_requests(now);
-        let Some(route) = self.routes.get(seg.flow.route) else {
-            return true;
-        };
-        let cfg = &self.cfg.overload;
-        if self.overload.is_due(cfg, now, service) {
-            let capacity = self.capacity(now, service);
-            self.overload.update(cfg, now, service, capacity);
-        }
-        let flow = NewFlow {
-            priority: route.priority,
-            client: *seg.flow.client.ip(),
-            in_flight: self.usable(now, service).map(|t| t.load.in_flight).sum(),
-            has_room: self.has_room(now, service),
-        };
-        self.overload.admits(cfg, now, service, flow)
-    }
-
-    /// Targets of a service that accept new flows and are not suspect.
-    fn usable(&self, now: Duration, service: &str) -> impl Iterator<Item = &Target> {
-        let keys = self.directory.for_service(service).iter();
-        let targets = keys.filter_map(|key| self.directory.get(*key));
-        targets.filter(move |target| !target.health.is_suspect(now))
-    }
-
-    /// What the targets of a service can do.
-    fn capacity(&self, now: Duration, service: &str) -> Capacity {
-        let targets = self.usable(now, service);
-        let slots = targets.map(|t| usable_slots(now, t)).sum::<f64>();
-        // If most targets look suspect, the cause is likely this VM.
-        let listed = self.directory.for_service(service).iter();
-        let listed = listed.filter_map(|key| self.directory.get(*key));
-        let all = listed.map(|t| usable_slots(now, t)).sum::<f64>();
-        let others = self.domain_load.service(now, service);
-        Capacity {
-            slots: slots.max(all * MIN_USABLE_PART),
-            others_per_s: others.map_or(0.0, |totals| offered_per_s(&totals.demand)),
-            link_per_s: None,
-        }
-    }
-
-    /// Whether a target of the service has no more requests than its slots and a short
-    /// queue. Without a usable target the last resort decides.
-    fn has_room(&self, now: Duration, service: &str) -> bool {
-        let mut targets = self.usable(now, service).peekable();
-        targets.peek().is_none()
-            || targets.any(|target| {
-                let others = self.domain_load.target(now, target.entry.id);
-                let others = others.map_or(0.0, |load| load.in_flight);
-                let in_flight = f64::from(target.load.in_flight) + others;
-                let slots = f64::from(target.entry.slots);
-                in_flight < slots * FULL_PER_SLOT
-            })
-    }
-
     /// Handles a SYN that the network delivered twice.
     fn decide_duplicate_syn(
         &mut self,
@@ -241,15 +176,6 @@
     }
 }
 
-/// Slots of a target that count as capacity.
-fn usable_slots(now: Duration, target: &Target) -> f64 {
-    let slots = f64::from(target.entry.slots);
-    match now < target.cold_until {
-        true => slots * COLD_PART,
-        false => slots,
-    }
-}
-
 /// Never answers a reset by a reset.
 fn reset(seg: &Segment, reason: ResetReason) -> Decision {
     match seg.flags.rst {
--- a/crates/cookie/src/domain_load.rs
+++ b/crates/cookie/src/domain_load.rs
@@ -1,12 +1,12 @@
 //! Load of the failure domain: the sum of what its other balancers report.
 //!
-//! Answers load that one balancer can't see: with many balancers, each has few of a
+//! Handles load that one balancer can't see: with many balancers, each has few of a
 //! target's flows, so that a target with a long queue looks idle to most of them.
 //!
 //! Each balancer reports to the others in turn. One that was not heard in time, because
 //! a report was lost or its turn has not come, counts as the mean of those heard, since
-//! zero would invite flows. One that was heard before and is
-//! silent for [`GONE_AFTER`] has stopped: its clients' packets now reach others.
+//! zero would invite flows. One that was heard before and is silent for [`GONE_AFTER`]
+//! has stopped: its clients' packets now reach others.
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/cookie/src/evidence.rs
+++ b/crates/cookie/src/evidence.rs
@@ -79,11 +79,13 @@
 /// Requests in one span, to all targets.
 #[derive(Clone, Copy, Debug, Default)]
 struct Requests {
-    /// Opening packets and requests sent for the first time.
+    /// Opening packets, also those moved to another target, and requests sent for the
+    /// first time.
     sent: u32,
     /// Answered ones, whenever they were sent.
     answered: u32,
-    /// Those answered only after a retransmission.
+    /// Requests answered only after a retransmission. An opening packet that is sent
+    /// again goes to another target, so it does not count.
     recovered: u32,
 }
 
--- a/crates/cookie/src/health.rs
+++ b/crates/cookie/src/health.rs
@@ -248,13 +248,14 @@
         }
     }
 
-    /// Requests a probe of a target that joined while no other one could be reached. It
-    /// may get flows, but does not count as reachable before it answers.
+    /// Marks a target that joined while no other one could be reached. It may get flows,
+    /// but does not count as reachable until it answers one or a probe, which is due.
     pub(crate) fn mark_unproven(&mut self) {
         self.unproven = true;
     }
 
-    /// Whether the target failed its last probe, or was never heard and joined while all were.
+    /// Whether the target failed its last probe, or joined while none could be reached and
+    /// has not answered since.
     pub fn is_unreachable(&self) -> bool {
         self.unproven || self.failed_last_probe()
     }
--- a/crates/cookie/src/lib.rs
+++ b/crates/cookie/src/lib.rs
@@ -9,10 +9,11 @@
 //! This crate does no I/O and reads no clock: callers pass the time, and carry out
 //! decisions and [`Effects`].
 
+mod admit_flow;
 mod attempts;
 mod balancer;
 mod config;
-mod crowd;
+mod cross_domain_share;
 mod decide;
 mod decision;
 mod directory;
@@ -31,6 +32,7 @@
 mod load_report;
 mod load_rotation;
 mod manifest;
+mod neighbor_cost;
 mod observe;
 mod overload;
 mod overload_config;
@@ -44,7 +46,6 @@
 mod segment;
 mod silence;
 mod snapshot;
-mod spill;
 mod target;
 mod unknown;
 mod warmup;
--- a/crates/cookie/src/load_rates.rs
+++ b/crates/cookie/src/load_rates.rs
@@ -1,6 +1,6 @@
 //! Demand and responses per second of each service through this balancer.
 //!
-//! Answers demand that changes within a second, as bursts do: rates are counts that
+//! Handles demand that changes within a second, as bursts do: rates are counts that
 //! decay exponentially, so that they follow a change within about one time constant
 //! and need no history.
 
--- a/crates/cookie/src/load_report.rs
+++ b/crates/cookie/src/load_report.rs
@@ -21,8 +21,8 @@
     pub heard: Option<SocketAddr>,
     /// Its services with recent traffic, those with the most demand first.
     pub services: Vec<ServiceLoadReport>,
-    /// Its targets with open flows, the most important to tell first. A target that is
-    /// not listed has no flows, or few of them and no requests in flight.
+    /// Its targets with open flows, the most important to tell first. The sender leaves
+    /// out what exceeds its datagram; the receiver counts those as having none.
     pub targets: Vec<TargetLoadReport>,
 }
 
@@ -44,9 +44,11 @@
 pub struct PriorityDemand {
     /// Priority of the routes; 0 is the most urgent.
     pub priority: u32,
-    /// First SYNs of new flows per second, accepted or not.
+    /// First SYNs of new flows per second, accepted or not; in the log of an overload
+    /// without further attempts of clients that were refused.
     pub flows_per_s: f64,
-    /// Requests per second on open flows.
+    /// Requests per second sent to targets; in the log of an overload without the first
+    /// ones of their flows.
     pub requests_per_s: f64,
     /// New flows refused per second.
     pub refused_per_s: f64,
--- a/crates/cookie/src/load_rotation.rs
+++ b/crates/cookie/src/load_rotation.rs
@@ -1,6 +1,6 @@
 //! Whom to tell the load next, within a fixed number of bytes per second.
 //!
-//! Answers failure domains of any size: the cost per balancer is bounded, whatever the
+//! Handles failure domains of any size: the cost per balancer is bounded, whatever the
 //! number of balancers. Peers are told in turn. With few of them each is told in each
 //! interval; with many, reports get smaller and a turn takes longer.
 
--- a/crates/cookie/src/crowd.rs
+++ b/crates/cookie/src/neighbor_cost.rs
@@ -13,19 +13,19 @@
 
 use crate::{Candidate, PlacementConfig};
 
-/// Load of the other balancers per slot up to which a target is not crowded.
+/// Load of the other balancers per slot up to which it costs nothing.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct CrowdLimit(f64);
+pub(crate) struct NeighborCost(f64);
 
-impl CrowdLimit {
+impl NeighborCost {
     /// The mean over the local targets, but at least a request for each slot: below that,
     /// none waits.
-    pub fn new(cfg: &PlacementConfig, candidates: &[Candidate]) -> CrowdLimit {
+    pub fn new(cfg: &PlacementConfig, candidates: &[Candidate]) -> NeighborCost {
         let local = || candidates.iter().filter(|c| c.local);
         let load: f64 = local().map(|c| neighbor_load(cfg, c)).sum();
         let slots: f64 = local().map(Candidate::usable_slots).sum();
         let mean = if slots > 0.0 { load / slots } else { 0.0 };
-        CrowdLimit(mean.max(1.0 + cfg.busy_cost))
+        NeighborCost(mean.max(1.0 + cfg.busy_cost))
     }
 
     /// Additional cost of a candidate, in flows per slot.
--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -7,7 +7,8 @@
 use crate::silence::probe_if_suspect;
 use crate::{Balancer, FlowId, Segment, TargetKey};
 
-/// Data of the largest packet; clients acknowledge a second packet at once.
+/// Data of the largest packet. An acknowledgement of more covers two packets, so that the
+/// client has not delayed it.
 const MAX_PACKET_DATA_BYTES: u32 = 1_200;
 
 impl Balancer {
--- a/crates/cookie/src/overload.rs
+++ b/crates/cookie/src/overload.rs
@@ -13,25 +13,25 @@
 //! limit counts requests in flight, refusals end as soon as responses arrive or the
 //! load ends.
 //!
-//! A service whose routes differ in priority and whose flows mostly stay open is limited
-//! by [`admission`] instead, from demand against capacity and the queues at its targets.
+//! A service whose routes differ in priority, with enough requests on flows that had one
+//! before, is limited by [`admission`] instead: from demand against capacity and the
+//! queues at its targets.
 
 mod admission;
+mod client_rank;
 mod demand;
-mod ladder;
 mod latency;
 mod link;
-mod lottery;
-mod order;
 mod priorities;
+mod priority_order;
+mod priority_shares;
 mod queueing;
 mod service;
 
-use std::sync::Arc;
-use std::time::Duration;
-
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
 
 use hashbrown::{HashMap, HashSet};
 
@@ -42,7 +42,8 @@
 
 use crate::{Manifest, OverloadConfig, PriorityDemand, Route};
 
-/// Requests that other balancers have, answered or not, per second.
+/// Requests per second that clients have, of what balancers report: those sent, and a
+/// third of the refused flows, since a refused client tries three times.
 pub(crate) fn offered_per_s(demand: &[PriorityDemand]) -> f64 {
     let requests = demand
         .iter()
@@ -88,12 +89,13 @@
 /// What the targets of a service and this VM can do, for one interval.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Capacity {
-    /// Slots of the targets that are neither silent nor suspect; those of cold targets
-    /// count in part.
+    /// Slots of the targets that are neither silent nor suspect, but at least half of
+    /// all; those of cold targets count in part.
     pub slots: f64,
     /// Requests per second of the other balancers, as far as they are known.
     pub others_per_s: f64,
-    /// Requests per second that this VM's link carries, if that is known.
+    /// Requests per second that this VM's link carries, both directions together, if that
+    /// is known.
     pub link_per_s: Option<f64>,
 }
 
@@ -304,11 +306,11 @@
             let admission = admissions.get_mut(service);
             let admission = admission.filter(|a| a.has_lasting_flows(cfg));
             let budget = admission.as_ref().and_then(|a| a.budget_at(now));
-            let Some(mut change) = load.take_change(now, service, budget.is_some()) else {
+            let has_budget = admission.is_some().then_some(budget.is_some());
+            let Some(mut change) = load.take_change(now, service, has_budget) else {
                 continue;
             };
             if let Some(admission) = admission {
-                change.limit = None;
                 change.budget_per_s = budget.map(|b| b.round() as u32);
                 change.slots_per_s = admission.slots_per_s().map(|s| s.round() as u32);
                 change.link_per_s = admission.link_per_s().map(|l| l.round() as u32);
--- a/crates/cookie/src/overload/admission.rs
+++ b/crates/cookie/src/overload/admission.rs
@@ -1,5 +1,5 @@
 //! Admission of new flows from demand against capacity, for a service whose routes
-//! differ in priority and whose flows mostly stay open for further requests.
+//! differ in priority, if enough of its requests are on flows that had one before.
 //!
 //! Load pattern: for some seconds clients offer several times what all targets can do,
 //! partly on long flows. The budget is the rate of requests that the targets answered:
@@ -11,10 +11,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::client_rank;
 use super::demand::Demand;
-use super::ladder::fractions;
-use super::lottery;
-use super::order::PriorityOrder;
+use super::priority_order::PriorityOrder;
+use super::priority_shares::admitted_fractions;
 use super::queueing::{Queueing, Queues};
 use super::{Capacity, NewFlow, ResponseSample};
 use crate::{OverloadConfig, PriorityDemand};
@@ -23,9 +23,9 @@
 /// retries of so few find room.
 const MAX_REJECTED: f64 = 0.04;
 /// Part of the served rate that the budget leaves free, so that queues drain.
-const DRAIN: f64 = 0.03;
+const DRAIN_RESERVE: f64 = 0.03;
 /// Smallest factor on the sent rate at once.
-const MIN_DECREASE: f64 = 0.5;
+const MIN_FACTOR: f64 = 0.5;
 /// Time within which queues that are too long are to drain.
 const DRAIN_TIME_S: f64 = 0.3;
 /// Smallest factor on the sent rate for queues to drain.
@@ -49,10 +49,10 @@
 const MIN_EXPECTED: f64 = 100.0;
 /// Fraction of the budget below which the demand must fall for refusals to end within
 /// an epoch.
-const FITS_BELOW: f64 = 0.9;
+const READMIT_BELOW: f64 = 0.9;
 /// Factor by which a fraction must fall to do so within an epoch because of the demand,
 /// which varies by chance.
-const FRACTION_CHANGE: f64 = 0.75;
+const MIN_FRACTION_CUT: f64 = 0.75;
 /// Time without refusals after which the budget is forgotten.
 const BUDGET_RETENTION: Duration = Duration::from_secs(2);
 
@@ -63,16 +63,17 @@
     queueing: Queueing,
     order: PriorityOrder,
     interval_start: Duration,
-    /// Requests per second that the targets serve; `None` while all are served.
+    /// Requests per second that the targets seem to serve; `None` while all are served.
     budget: Option<f64>,
-    /// Requests per second that may be sent to targets; `None` while all fit.
+    /// The budget within what the link and the slots allow, in requests per second;
+    /// `None` while all fit.
     limit: Option<f64>,
     /// When the budget was last lowered; responses to earlier requests say nothing
     /// about it.
     lowered_at: Duration,
     /// When the budget last refused a part of the demand.
     refused_at: Duration,
-    /// Delay of the last interval.
+    /// Delay of the last interval, in multiples of what is allowed.
     last_delay: f64,
     /// Requests sent and responses since these were last compared.
     expected: f64,
@@ -136,7 +137,8 @@
     /// Whether to accept the first SYN of a flow.
     pub fn admits(&mut self, cfg: &OverloadConfig, flow: NewFlow) -> bool {
         let fraction = self.fractions.get(&flow.priority);
-        let chosen = fraction.is_none_or(|f| lottery::rank(cfg.key, flow.client, self.epoch) < *f);
+        let chosen =
+            fraction.is_none_or(|f| client_rank::rank(cfg.key, flow.client, self.epoch) < *f);
         let wanted = chosen && flow.has_room;
         let admitted = self.order.enforce(flow.priority, wanted);
         self.demand.record_attempt(flow.priority, admitted);
@@ -165,7 +167,7 @@
         }
         self.follow_answers(now, elapsed);
         self.raise_budget(elapsed);
-        let epoch = lottery::epoch_at(wall, cfg.epoch);
+        let epoch = client_rank::epoch_at(wall, cfg.epoch);
         self.update_fractions(now, epoch);
     }
 
@@ -175,8 +177,8 @@
         let growing = queues.delay >= self.last_delay;
         self.last_delay = queues.delay;
         let served = if queues.rejected > MAX_REJECTED {
-            let served = (1.0 - queues.rejected) * drain_factor(&queues).min(1.0 - DRAIN);
-            sent * served.max(MIN_DECREASE)
+            let served = (1.0 - queues.rejected) * drain_factor(&queues).min(1.0 - DRAIN_RESERVE);
+            sent * served.max(MIN_FACTOR)
         } else if queues.delay > 1.0 && growing {
             sent * drain_factor(&queues)
         } else {
@@ -186,13 +188,13 @@
         self.lower_budget(now, served);
     }
 
-    /// Lowers the budget to the rate that was served, but to half of it at most: while
-    /// packets wait in front of this VM, few requests come.
+    /// Lowers the budget to the rate that was served, by half at most: while packets queue
+    /// at this VM's link, few requests arrive, so that the sent rate is too low an estimate.
     fn lower_budget(&mut self, now: Duration, served: f64) {
         if self.budget.is_none() {
             self.queueing.discard_recent(now);
         }
-        let least = self.budget.unwrap_or_default() * MIN_DECREASE;
+        let least = self.budget.unwrap_or_default() * MIN_FACTOR;
         self.budget = Some(served.max(least));
         self.has_free_slots = false;
         self.lowered_at = now;
@@ -215,7 +217,7 @@
         let answered = f64::from(std::mem::take(&mut self.answered));
         let answered = answered / std::mem::take(&mut self.expected);
         if answered < 1.0 - MAX_MISSING {
-            self.lower_budget(now, sent * answered.max(MIN_DECREASE));
+            self.lower_budget(now, sent * answered.max(MIN_FACTOR));
         }
     }
 
@@ -256,9 +258,9 @@
         } else if now >= self.refused_at + BUDGET_RETENTION {
             self.budget = None;
         }
-        let wanted = fractions(limit, self.demand.rates());
+        let wanted = admitted_fractions(limit, self.demand.rates());
         let new_epoch = epoch != self.epoch;
-        if new_epoch || self.has_free_slots || offered < limit * FITS_BELOW {
+        if new_epoch || self.has_free_slots || offered < limit * READMIT_BELOW {
             self.epoch = epoch;
             self.fractions = wanted;
             return;
@@ -266,7 +268,7 @@
         let lowered = self.lowered_at == now;
         for (priority, fraction) in wanted {
             let current = self.fractions.entry(priority).or_insert(1.0);
-            if fraction < *current && (lowered || fraction < *current * FRACTION_CHANGE) {
+            if fraction < *current && (lowered || fraction < *current * MIN_FRACTION_CUT) {
                 *current = fraction;
             }
         }
--- a/crates/cookie/src/overload/order.rs
+++ b/crates/cookie/src/overload/priority_order.rs
@@ -3,7 +3,8 @@
 use std::cmp::Ordering;
 
 /// Ensures that within an interval no flow is refused after or before a less urgent
-/// one of the same service was accepted, whichever reason it is refused for.
+/// one of the same service was accepted by admission. A flow that finds no target is
+/// refused later, whatever its priority.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct PriorityOrder {
     /// Least urgent priority that was accepted.
--- a/crates/cookie/src/overload/ladder.rs
+++ b/crates/cookie/src/overload/priority_shares.rs
@@ -15,7 +15,7 @@
 
 /// Fraction of new flows to admit, by priority. A flow counts with the requests that it
 /// brings soon.
-pub(super) fn fractions(
+pub(super) fn admitted_fractions(
     budget: f64,
     demand: impl Iterator<Item = (u32, PriorityRates)>,
 ) -> BTreeMap<u32, f64> {
--- a/crates/cookie/src/overload/service.rs
+++ b/crates/cookie/src/overload/service.rs
@@ -140,17 +140,18 @@
     }
 
     /// Returns what happened since the last call if the service is overloaded or has
-    /// just ceased to be; `has_budget` says that its budget refuses new flows.
+    /// just ceased to be. `has_budget` is whether a budget refuses new flows, if one
+    /// decides instead of the limit.
     pub fn take_change(
         &mut self,
         now: Duration,
         service: &Arc<str>,
-        has_budget: bool,
+        has_budget: Option<bool>,
     ) -> Option<OverloadChange> {
-        let limit = self.limit_at(now);
+        let limit = self.limit_at(now).filter(|_| has_budget.is_none());
         let refused = std::mem::take(&mut self.refused);
         let accepted = std::mem::take(&mut self.accepted);
-        let limited = limit.is_some() || has_budget;
+        let limited = has_budget.unwrap_or(limit.is_some());
         let overloaded = limited && (refused > 0 || self.reported);
         let was_reported = std::mem::replace(&mut self.reported, overloaded);
         (was_reported || overloaded).then(|| OverloadChange {
--- a/crates/cookie/src/overload_config.rs
+++ b/crates/cookie/src/overload_config.rs
@@ -35,7 +35,8 @@
     pub max_service_times: f64,
     /// Time for which a refused client stays refused; then others are.
     pub epoch: Duration,
-    /// Bytes per second that the VM's link carries in each direction; `None` if unknown.
+    /// Bytes per second that the VM's link carries, both directions together; `None` if
+    /// unknown.
     pub link_bytes_per_s: Option<f64>,
     /// Bytes of headers that each packet takes on the link.
     pub packet_overhead_bytes: u32,
--- a/crates/cookie/src/place.rs
+++ b/crates/cookie/src/place.rs
@@ -6,8 +6,8 @@
 use rand::Rng;
 use rand::RngExt;
 
-use crate::crowd::CrowdLimit;
-use crate::spill::spill_share;
+use crate::cross_domain_share::cross_domain_share;
+use crate::neighbor_cost::NeighborCost;
 use crate::{Load, NeighborLoad, TargetKey};
 
 /// Cost of a target used only as a last resort, in flows per slot.
@@ -28,7 +28,7 @@
     pub cold_cost: f64,
     /// Cost of a target whose failure domain was just taken back after an evacuation, in
     /// flows per slot; it falls to 0. Above `cross_domain_cost`, so that flows don't all
-    /// return at once.
+    /// return at once while the load of the domain is unknown.
     pub returning_cost: f64,
     /// Additional cost of a flow with an unanswered request, in open flows: it takes a
     /// slot now, an idle flow only may later.
@@ -123,7 +123,7 @@
                 remote: cfg.cross_domain_cost,
             };
         };
-        let leaves = rng.random::<f64>() < spill_share(cfg, candidates, others);
+        let leaves = rng.random::<f64>() < cross_domain_share(cfg, candidates, others);
         let (local, remote) = match leaves {
             true => (WRONG_DOMAIN_COST, 0.0),
             false => (0.0, WRONG_DOMAIN_COST),
@@ -143,7 +143,7 @@
     rng: &mut impl Rng,
 ) -> Option<TargetKey> {
     let domains = DomainCosts::new(cfg, candidates, others, rng);
-    let crowd = CrowdLimit::new(cfg, candidates);
+    let neighbors = NeighborCost::new(cfg, candidates);
     let mut best: Option<(f64, TargetKey)> = None;
     for c in candidates {
         let jitter = rng.random::<f64>() / c.usable_slots();
@@ -152,7 +152,7 @@
         } else {
             domains.remote
         };
-        let cost = c.cost(cfg) + domain + crowd.cost(cfg, c, rng) + jitter;
+        let cost = c.cost(cfg) + domain + neighbors.cost(cfg, c, rng) + jitter;
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, c.key));
         }
--- a/crates/settings/src/cookie.rs
+++ b/crates/settings/src/cookie.rs
@@ -24,7 +24,7 @@
         readiness_path: String = "/readiness".into(), "text that begins with `/`", check::path;
         /// Client port to which resets are sent; 0 means the port of `data.listen`.
         caller_port: u16 = 0, "0 to 65535", check::number::<0, 65_535>;
-        /// Rate that the VM's link carries in each direction, in Mbit/s: new flows are refused before it is exceeded, the least urgent first. 0 means unknown.
+        /// Rate that the VM's link carries, both directions together, in Mbit/s: new flows are refused before it is exceeded, the least urgent first. 0 means unknown.
         link_mbps: f64 = 0.0, "0 to 1000000", check::decimal::<0, 1_000_000>;
         /// Age after which a flow may be discarded, in seconds.
         flow_max_age_s: f64 = 60.0, "1 to 86400", check::decimal::<1, 86_400>;
