--- a/crates/cookie/src/admit_flow.rs
+++ b/crates/cookie/src/admit_flow.rs
@@ -30,7 +30,8 @@
             priority: route.priority,
             client: *seg.flow.client.ip(),
             in_flight: self.usable(now, service).map(|t| t.load.in_flight).sum(),
-            has_room: self.has_room(now, service),
+            // Only a budget asks for it, and it looks at every target.
+            has_room: !self.overload.decides_by_budget(cfg, service) || self.has_room(now, service),
         };
         self.overload.admits(cfg, now, service, flow)
     }
--- a/crates/cookie/src/overload.rs
+++ b/crates/cookie/src/overload.rs
@@ -157,6 +157,12 @@
         Some(self.admissions.entry(Arc::clone(service)).or_default())
     }
 
+    /// Whether a budget decides on the new flows of a service instead of the limit.
+    pub fn decides_by_budget(&self, cfg: &OverloadConfig, service: &str) -> bool {
+        let admission = self.admissions.get(service);
+        self.uses_priorities(cfg, service) && admission.is_some_and(|a| a.has_lasting_flows(cfg))
+    }
+
     /// Records the time from a SYN to the client's next packet.
     pub fn record_handshake(
         &mut self,
