feat(cookie): admission of new flows by the room at all targets

Cause: the limit on requests in flight is each balancer's own, inferred from the median latency. Quick rejections by targets lower that median, so the limit rises while targets reject a third of the requests, and balancers before the same targets refuse 0 and 85%.

Change: a fleet of at most 25 balancers exchanges its load over all failure domains. A flow is refused when the requests at all targets exceed what meets the goal and this balancer has more than its share of the demand; for the first two seconds of a backlog only when targets would reject it. The limit in flight remains where the load of others is unknown.

--- a/crates/cookie/src/admit_flow.rs
+++ b/crates/cookie/src/admit_flow.rs
@@ -3,14 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::overload::{Capacity, NewFlow, offered_per_s};
+use crate::overload::{Capacity, FULL_PER_SLOT, NewFlow, Room, offered_per_s};
 use crate::presence::Target;
 use crate::{Balancer, Segment};
 
 /// Part of a cold target's slots that counts as capacity; it takes about twice as long.
 const COLD_PART: f64 = 0.5;
-/// Requests per slot at which the queue of a target is so long that it rejects more.
-const FULL_PER_SLOT: f64 = 4.0;
 /// Part of a service's slots that counts as usable whatever the targets look like.
 const MIN_USABLE_PART: f64 = 0.5;
 
@@ -30,6 +28,7 @@
             priority: route.priority,
             client: *seg.flow.client.ip(),
             in_flight: self.usable(now, service).map(|t| t.load.in_flight).sum(),
+            room: self.room(now, service),
             // Only a budget asks for it, and it looks at every target.
             has_room: !self.overload.decides_by_budget(cfg, service) || self.has_room(now, service),
         };
@@ -59,6 +58,26 @@
         }
     }
 
+    /// Requests at all targets of a service; `None` if those through other balancers, of
+    /// this failure domain or of the others, are unknown.
+    fn room(&self, now: Duration, service: &str) -> Option<Room> {
+        let local = self.domain_load.service_if_any(now, service)?;
+        let remote = self.remote_load.service_if_any(now, service)?;
+        let offered = offered_per_s(&self.own_load.rates.demand_of(now, service));
+        let others = offered_per_s(&local.demand) + offered_per_s(&remote.demand);
+        let mut room = Room {
+            others: local.in_flight + remote.in_flight,
+            own_share: offered / (offered + others).max(f64::EPSILON),
+            ..Room::default()
+        };
+        for target in self.usable(now, service) {
+            let slowness = self.paces.slowness(now, target.entry.id);
+            room.slots += usable_slots(now, target) / slowness;
+            room.own += f64::from(target.load.in_flight + target.load.opening);
+        }
+        Some(room)
+    }
+
     /// Whether a target of the service has no more requests than its slots and a short
     /// queue. Without a usable target the last resort decides.
     fn has_room(&self, now: Duration, service: &str) -> bool {
--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -51,6 +51,8 @@
     pub(crate) reports: Reports,
     pub(crate) evidence: Evidence,
     pub(crate) domain_load: DomainLoad,
+    /// Load through the balancers of the other failure domains.
+    pub(crate) remote_load: DomainLoad,
     pub(crate) own_load: OwnLoad,
     pub(crate) pending: Pending,
     pub(crate) service_hasher: FixedState,
@@ -78,6 +80,7 @@
             reports: Reports::default(),
             evidence: Evidence::default(),
             domain_load: DomainLoad::default(),
+            remote_load: DomainLoad::default(),
             own_load: OwnLoad::new(FixedState::with_seed(PROCESS_SEED).hash_one(seed) as u32),
             pending: Pending::default(),
             service_hasher: FixedState::with_seed(SPLIT_SEED),
--- a/crates/cookie/src/domain_load.rs
+++ b/crates/cookie/src/domain_load.rs
@@ -133,6 +133,15 @@
         Some(totals)
     }
 
+    /// Load of a service through the other balancers, which is none if there are no others;
+    /// `None` while too few are heard.
+    pub(crate) fn service_if_any(&self, now: Duration, service: &str) -> Option<ServiceTotals> {
+        match self.is_alone(now) {
+            true => Some(ServiceTotals::default()),
+            false => self.service(now, service),
+        }
+    }
+
     /// A balancer whose report counts, another one for each number.
     pub(crate) fn heard_peer(&self, number: u64) -> Option<SocketAddr> {
         let counting = self.neighbors.iter().filter(|(_, n)| n.report.is_some());
@@ -244,11 +253,19 @@
         all
     }
 
+    /// Whether no other balancer is known.
+    fn is_alone(&self, now: Duration) -> bool {
+        self.is_refreshed(now) && self.expected() == 0
+    }
+
+    fn is_refreshed(&self, now: Duration) -> bool {
+        self.refreshed_at.is_some_and(|at| now < at + STALE_AFTER)
+    }
+
     /// Factor on sums to include the balancers that were not heard.
     fn scale(&self, now: Duration) -> Option<f64> {
-        let fresh = self.refreshed_at.is_some_and(|at| now < at + STALE_AFTER);
         let enough = self.heard > 0 && 2 * self.heard >= self.expected();
-        (fresh && enough).then(|| self.expected() as f64 / self.heard as f64)
+        (self.is_refreshed(now) && enough).then(|| self.expected() as f64 / self.heard as f64)
     }
 
     fn count_expected(&mut self, now: Duration) {
--- a/crates/cookie/src/flows.rs
+++ b/crates/cookie/src/flows.rs
@@ -26,6 +26,8 @@
     pub last_seen: Duration,
     /// Whether a packet after the SYN was seen.
     pub open: bool,
+    /// Whether the flow counts as one that is about to open.
+    pub opening: bool,
     /// Retransmissions of the SYN.
     pub syn_retransmits: u32,
     /// Last acknowledgement number of the client.
@@ -59,6 +61,7 @@
             opened_at: now,
             last_seen: now,
             open: false,
+            opening: false,
             syn_retransmits,
             acked: 0,
             seq: 0,
@@ -86,7 +89,7 @@
 #[derive(Debug, Default)]
 pub struct FlowTable {
     flows: HashMap<FlowId, Flow, RandomState>,
-    /// Requests by the time when they were sent, oldest first.
+    /// SYNs and requests by the time when they were sent, oldest first.
     requests: VecDeque<(Duration, FlowId)>,
 }
 
@@ -113,12 +116,12 @@
         self.flows.remove(id)
     }
 
-    /// Records that a request was sent on a flow, so that it expires in time.
+    /// Records that a SYN or a request was sent on a flow, so that it expires in time.
     pub(crate) fn record_request(&mut self, now: Duration, id: FlowId) {
         self.requests.push_back((now, id));
     }
 
-    /// Returns the next flow whose request has expired, if any.
+    /// Returns the next flow whose SYN or request has expired, if any.
     pub(crate) fn next_expired(&mut self, now: Duration) -> Option<(FlowId, &mut Flow)> {
         loop {
             let (sent_at, id) = *self.requests.front()?;
--- a/crates/cookie/src/load.rs
+++ b/crates/cookie/src/load.rs
@@ -7,6 +7,8 @@
 pub struct Load {
     /// Open flows, including those whose SYN has no response yet.
     pub flows: u32,
+    /// Flows whose SYN was forwarded so recently that their first request is still to come.
+    pub opening: u32,
     /// Flows with an unanswered request.
     pub busy: u32,
     /// Flows whose unanswered request was retransmitted.
@@ -16,6 +18,20 @@
 }
 
 impl Load {
+    /// Records that the SYN of the flow was forwarded.
+    pub(crate) fn mark_opening(&mut self, flow: &mut Flow) {
+        if !std::mem::replace(&mut flow.opening, true) {
+            self.opening += 1;
+        }
+    }
+
+    /// Records that the flow is open, or that its SYN seems lost.
+    pub(crate) fn clear_opening(&mut self, flow: &mut Flow) {
+        if std::mem::take(&mut flow.opening) {
+            self.opening = self.opening.saturating_sub(1);
+        }
+    }
+
     /// Records that the flow has an unanswered request.
     pub(crate) fn mark_busy(&mut self, flow: &mut Flow) {
         if !std::mem::replace(&mut flow.busy, true) {
--- a/crates/cookie/src/load_exchange.rs
+++ b/crates/cookie/src/load_exchange.rs
@@ -85,6 +85,28 @@
         self.domain_load.refresh(now, own, local_peers)
     }
 
+    /// Records the load of a balancer of another failure domain, like
+    /// [`Balancer::record_load_report`].
+    pub fn record_remote_report(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        report: LoadReport,
+    ) -> bool {
+        self.remote_load.record(now, from, report)
+    }
+
+    /// Updates the known balancers of the other failure domains, like
+    /// [`Balancer::refresh_domain_load`].
+    pub fn refresh_remote_load(
+        &mut self,
+        now: Duration,
+        own: SocketAddr,
+        remote_peers: Vec<SocketAddr>,
+    ) -> Vec<SocketAddr> {
+        self.remote_load.refresh(now, own, remote_peers)
+    }
+
     fn service_reports(&self, now: Duration) -> Vec<ServiceLoadReport> {
         let in_flight = self.in_flight_by_service();
         let rates = self.own_load.rates.all(now);
--- a/crates/cookie/src/load_rates.rs
+++ b/crates/cookie/src/load_rates.rs
@@ -112,6 +112,12 @@
         services.map(move |(name, rates)| (name, rates.answered.per_s(now), rates.demand(now)))
     }
 
+    /// Recent demand for a service by priority.
+    pub fn demand_of(&self, now: Duration, service: &str) -> Vec<PriorityDemand> {
+        let rates = self.services.get(service);
+        rates.map_or_else(Vec::new, |rates| rates.demand(now))
+    }
+
     /// Removes services without recent traffic.
     pub fn sweep(&mut self, now: Duration) {
         self.services.retain(|_, rates| {
--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/observe.rs
@@ -50,6 +50,7 @@
         probe_if_suspect(&self.cfg, &mut self.pending, now, target);
         let timed_out = retransmitted && target.health.silence_timed_out(now, &self.cfg.health);
         let silent = target.health.is_silent() || timed_out;
+        target.load.clear_opening(&mut flow);
         flow.open = true;
         flow.acked = seg.ack;
         flow.last_seen = now;
@@ -71,14 +72,12 @@
         if !flow.open && flow.syn_retransmits == 0 {
             let time = now.saturating_sub(flow.sent_at);
             let service = &target.entry.service;
-            self.overload
-                .record_handshake(&self.cfg.overload, now, service, time);
+            self.overload.record_handshake(now, service, time);
         }
         if flow.busy {
             let rates = &mut self.own_load.rates;
             rates.record_response(now, &target.entry.service);
-            let cfg = &self.cfg.overload;
-            self.overload.record_answer(cfg, &target.entry.service);
+            self.overload.record_answer(&target.entry.service);
         }
         if flow.busy || !flow.open {
             self.evidence.record_answer(now, flow.stalled);
@@ -94,7 +93,8 @@
         }
         let route = self.routes.get(seg.flow.route).filter(|_| timed);
         let exact = seg.flags.fin || seg.ack.wrapping_sub(flow.acked) > MAX_PACKET_DATA_BYTES;
-        let sample = route.and_then(|r| ResponseSample::new(r, now, flow.sent_at, exact));
+        let sample =
+            route.and_then(|r| ResponseSample::new(r, now, flow.sent_at, exact, flow.found_free));
         if let Some(sample) = sample {
             let service = &target.entry.service;
             self.overload
@@ -156,6 +156,7 @@
             let Some(target) = self.directory.get_mut(flow.target) else {
                 continue;
             };
+            target.load.clear_opening(flow);
             if !flow.in_flight {
                 continue;
             }
@@ -209,7 +210,10 @@
             return;
         }
         target.load.flows += 1;
-        self.flows.insert(seg.flow, Flow::new(key, now, seg.ack));
+        let mut flow = Flow::new(key, now, seg.ack);
+        target.load.mark_opening(&mut flow);
+        self.flows.insert(seg.flow, flow);
+        self.flows.record_request(now, seg.flow);
     }
 
     /// Stops counting a flow that its client has closed. Its entry stays, so that the
@@ -240,6 +244,7 @@
             return;
         };
         let mut flow = flow;
+        target.load.clear_opening(&mut flow);
         target.load.clear_request(&mut flow);
         target.load.flows = target.load.flows.saturating_sub(1);
     }
--- a/crates/cookie/src/overload.rs
+++ b/crates/cookie/src/overload.rs
@@ -26,7 +26,9 @@
 mod priority_order;
 mod priority_shares;
 mod queueing;
+mod room;
 mod service;
+mod service_time;
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -38,6 +40,8 @@
 use admission::Admission;
 pub(crate) use latency::ResponseSample;
 use link::LinkUse;
+use room::Backlog;
+pub(crate) use room::{FULL_PER_SLOT, Room};
 use service::ServiceLoad;
 
 use crate::{Manifest, OverloadConfig, PriorityDemand, Route};
@@ -110,6 +114,8 @@
     pub in_flight: u32,
     /// Whether a target has no more requests than its slots and a short queue.
     pub has_room: bool,
+    /// Requests at all targets of the service, if they are known.
+    pub room: Option<Room>,
 }
 
 /// Load of all services.
@@ -118,6 +124,9 @@
     services: HashMap<Arc<str>, ServiceLoad>,
     /// Services whose routes with a latency goal differ in priority.
     by_priority: HashSet<Arc<str>>,
+    /// Shortest latency goal of the routes of each service.
+    goals: HashMap<Arc<str>, Duration>,
+    backlogs: HashMap<Arc<str>, Backlog>,
     admissions: HashMap<Arc<str>, Admission>,
     /// Time since the Unix epoch minus the monotonic time.
     wall_offset: Duration,
@@ -125,20 +134,27 @@
 }
 
 impl Overload {
-    /// Finds the services whose routes differ in priority.
+    /// Finds the goals of the services, and whose routes differ in priority.
     pub fn apply_manifest(&mut self, manifest: &Manifest) {
         let mut priorities: BTreeMap<&Arc<str>, HashSet<u32>> = BTreeMap::new();
         let routes = manifest.routes.iter();
-        for route in routes.filter(|r| r.latency_goal.is_some()) {
+        let mut goals: HashMap<Arc<str>, Duration> = HashMap::new();
+        for route in routes {
+            let Some(goal) = route.latency_goal else {
+                continue;
+            };
             for share in &route.shares {
                 let used = priorities.entry(&share.service).or_default();
                 used.insert(route.priority);
+                let least = goals.entry(Arc::clone(&share.service)).or_insert(goal);
+                *least = goal.min(*least);
             }
         }
         let differ = priorities.into_iter().filter(|(_, used)| used.len() > 1);
         self.by_priority = differ.map(|(service, _)| Arc::clone(service)).collect();
-        let by_priority = &self.by_priority;
-        self.admissions.retain(|s, _| by_priority.contains(s));
+        self.admissions.retain(|s, _| goals.contains_key(s));
+        self.backlogs.retain(|s, _| goals.contains_key(s));
+        self.goals = goals;
     }
 
     /// Sets the wall clock, which all balancers derive the same epochs from.
@@ -150,8 +166,8 @@
         cfg.by_priority && self.by_priority.contains(service)
     }
 
-    fn admission(&mut self, cfg: &OverloadConfig, service: &Arc<str>) -> Option<&mut Admission> {
-        if !self.uses_priorities(cfg, service) {
+    fn admission(&mut self, service: &Arc<str>) -> Option<&mut Admission> {
+        if !self.goals.contains_key(service) {
             return None;
         }
         Some(self.admissions.entry(Arc::clone(service)).or_default())
@@ -164,21 +180,15 @@
     }
 
     /// Records the time from a SYN to the client's next packet.
-    pub fn record_handshake(
-        &mut self,
-        cfg: &OverloadConfig,
-        now: Duration,
-        service: &Arc<str>,
-        time: Duration,
-    ) {
-        if let Some(admission) = self.admission(cfg, service) {
+    pub fn record_handshake(&mut self, now: Duration, service: &Arc<str>, time: Duration) {
+        if let Some(admission) = self.admission(service) {
             admission.record_handshake(now, time);
         }
     }
 
     /// Counts a response, also one whose latency says nothing.
-    pub fn record_answer(&mut self, cfg: &OverloadConfig, service: &Arc<str>) {
-        if let Some(admission) = self.admission(cfg, service) {
+    pub fn record_answer(&mut self, service: &Arc<str>) {
+        if let Some(admission) = self.admission(service) {
             admission.record_answer();
         }
     }
@@ -192,7 +202,7 @@
         age: Option<Duration>,
     ) {
         self.link.record_request();
-        if let (Some(age), Some(admission)) = (age, self.admission(cfg, service)) {
+        if let (Some(age), Some(admission)) = (age, self.admission(service)) {
             admission.record_later_request(route.priority, age < cfg.epoch);
         }
     }
@@ -211,7 +221,7 @@
     /// Whether [`Overload::update`] is due before a new flow of the service.
     pub fn is_due(&self, cfg: &OverloadConfig, now: Duration, service: &str) -> bool {
         let admission = self.admissions.get(service);
-        self.uses_priorities(cfg, service) && admission.is_none_or(|a| a.is_due(cfg, now))
+        self.goals.contains_key(service) && admission.is_none_or(|a| a.is_due(cfg, now))
     }
 
     /// Ends an interval of a service whose routes differ in priority.
@@ -233,7 +243,7 @@
             ..capacity
         };
         let wall = now + self.wall_offset;
-        if let Some(admission) = self.admission(cfg, service) {
+        if let Some(admission) = self.admission(service) {
             admission.update(cfg, now, wall, capacity);
         }
     }
@@ -248,7 +258,11 @@
     ) {
         let load = self.services.entry(Arc::clone(service)).or_default();
         load.record(cfg, now, sample);
-        if let Some(admission) = self.admission(cfg, service) {
+        if sample.found_free {
+            let backlog = self.backlogs.entry(Arc::clone(service)).or_default();
+            backlog.record(sample.latency);
+        }
+        if let Some(admission) = self.admission(service) {
             admission.record_response(cfg, now, sample);
         }
     }
@@ -261,25 +275,48 @@
         service: &Arc<str>,
         flow: NewFlow,
     ) -> bool {
-        let by_budget = self
-            .admission(cfg, service)
-            .filter(|admission| admission.has_lasting_flows(cfg))
-            .map(|admission| admission.admits(cfg, flow));
+        let by_budget = match self.decides_by_budget(cfg, service) {
+            true => self.admission(service).map(|a| a.admits(cfg, flow)),
+            false => None,
+        };
+        let decided = by_budget.or_else(|| self.admits_by_room(cfg, now, service, flow));
         let load = self.services.get_mut(service);
-        let admitted = match (by_budget, load) {
+        let admitted = match (decided, load) {
             (Some(admitted), Some(load)) => load.record_decision(flow.in_flight, admitted),
             (Some(admitted), None) => admitted,
             (None, Some(load)) => load.admits(cfg, now, flow.priority, flow.in_flight),
             (None, None) => true,
         };
         if by_budget.is_none()
-            && let Some(admission) = self.admission(cfg, service)
+            && let Some(admission) = self.admission(service)
         {
             admission.record_attempt(flow.priority, admitted);
         }
         admitted
     }
 
+    /// Whether to accept a new flow, if the requests at all targets are known.
+    fn admits_by_room(
+        &mut self,
+        cfg: &OverloadConfig,
+        now: Duration,
+        service: &Arc<str>,
+        flow: NewFlow,
+    ) -> Option<bool> {
+        let room = flow.room?;
+        let goal = self.goals.get(service)?.mul_f64(cfg.goal_fraction);
+        let admission = self.admissions.get(service);
+        let path = admission.and_then(Admission::path);
+        let load = self.services.get(service);
+        let urgent_factor = match load.is_some_and(|load| load.is_urgent(flow.priority)) {
+            true => cfg.urgent_factor,
+            false => 1.0,
+        };
+        let backlog = self.backlogs.entry(Arc::clone(service)).or_default();
+        let per_slot = backlog.goal_per_slot(goal, path);
+        Some(backlog.admits(now, room, per_slot, cfg.min_limit.into(), urgent_factor))
+    }
+
     /// Limit on a service's requests in flight; `None` if it is not overloaded.
     pub fn limit(&self, now: Duration, service: &str) -> Option<u32> {
         self.services.get(service)?.limit_at(now)
--- a/crates/cookie/src/overload/admission.rs
+++ b/crates/cookie/src/overload/admission.rs
@@ -280,6 +280,11 @@
         self.limit.filter(|_| known)
     }
 
+    /// Usual time of the path from a client to a target and back.
+    pub fn path(&self) -> Option<Duration> {
+        self.queueing.path()
+    }
+
     /// Requests per second that the usable slots can process for all balancers.
     pub fn slots_per_s(&self) -> Option<f64> {
         Some(self.capacity.slots / self.queueing.service_time()?)
--- a/crates/cookie/src/overload/latency.rs
+++ b/crates/cookie/src/overload/latency.rs
@@ -27,6 +27,8 @@
     /// Whether the packet that shows the response was sent at once: the
     /// acknowledgement of a single packet may be delayed unless it closes the flow.
     pub exact: bool,
+    /// Whether the request found a free slot at its target, as far as is known.
+    pub found_free: bool,
 }
 
 impl ResponseSample {
@@ -36,12 +38,14 @@
         now: Duration,
         sent: Duration,
         exact: bool,
+        found_free: bool,
     ) -> Option<ResponseSample> {
         Some(ResponseSample {
             goal: route.latency_goal?,
             priority: route.priority,
             latency: now.saturating_sub(sent),
             exact,
+            found_free,
         })
     }
 }
--- a/crates/cookie/src/overload/queueing.rs
+++ b/crates/cookie/src/overload/queueing.rs
@@ -191,6 +191,11 @@
         (least > path).then_some(least - path)
     }
 
+    /// Usual time of the path from a client to a target and back.
+    pub fn path(&self) -> Option<Duration> {
+        self.path.median.map(Duration::from_secs_f64)
+    }
+
     /// Ends an interval; `None` if it had no responses.
     pub fn finish_interval(&mut self, overloaded: bool) -> Option<Queues> {
         if self.delays.is_empty() {
--- a/crates/cookie/src/overload/service.rs
+++ b/crates/cookie/src/overload/service.rs
@@ -71,6 +71,11 @@
         self.record_decision(in_flight, admitted)
     }
 
+    /// Whether no priority of the service is more urgent, but others are less.
+    pub fn is_urgent(&self, priority: u32) -> bool {
+        self.priorities.is_urgent(priority)
+    }
+
     /// Counts a decision that was made elsewhere; returns it.
     pub fn record_decision(&mut self, in_flight: u32, admitted: bool) -> bool {
         self.in_flight = in_flight;
--- a/crates/cookie/src/peers.rs
+++ b/crates/cookie/src/peers.rs
@@ -256,6 +256,13 @@
         local.map(|(address, _)| *address).collect()
     }
 
+    /// Addresses of the peers of other failure domains that are not failing.
+    pub fn remote_peers(&self) -> Vec<SocketAddr> {
+        let known = self.known.iter().filter(|(_, p)| p.failures == 0);
+        let remote = known.filter(|(_, p)| p.domain.is_some() && !p.is_in(&self.own.domain));
+        remote.map(|(address, _)| *address).collect()
+    }
+
     /// Whether any peer responds, or there is none to respond.
     pub fn is_connected(&self) -> bool {
         let responds = |p: &Peer| p.serves.is_some() && p.failures == 0;
--- a/crates/daemon/src/cookie/peers/load.rs
+++ b/crates/daemon/src/cookie/peers/load.rs
@@ -1,4 +1,4 @@
-//! Exchange of load between the balancers of a failure domain.
+//! Exchange of load between the balancers of a failure domain, and of a small fleet.
 //!
 //! Load reports are datagrams as described in `load_message`, sent and received at the
 //! socket of the reports of suspect targets. A lost one is followed by the next.
@@ -14,7 +14,12 @@
 use crate::cookie::shared::Shared;
 use crate::counters::{Count, Counters};
 
-/// Sends load reports to the peers of the failure domain.
+/// Most peers of other failure domains to exchange load with: reports of more come so
+/// seldom that they are out of date.
+const MAX_REMOTE_PEERS: usize = 24;
+
+/// Sends load reports to the peers of the failure domain, and to all others in a small
+/// fleet.
 pub(in crate::cookie) struct LoadSender {
     pub shared: Arc<Shared>,
     pub peers: Arc<SharedPeers>,
@@ -30,21 +35,47 @@
     pub fn run(self) {
         let counters = self.shared.counters.for_thread();
         let cfg = LoadRotationConfig::default();
-        let mut rotation = LoadRotation::new(cfg, self.own, self.shared.clock.now());
+        let start = self.shared.clock.now();
+        let mut local = LoadRotation::new(cfg, self.own, start);
+        let mut remote = LoadRotation::new(cfg, self.own, start);
         while !self.shared.is_shut_down() {
             std::thread::sleep(cfg.interval);
             let now = self.shared.clock.now();
-            self.send(&counters, &mut rotation, now);
+            let peers = self.local_recipients(now);
+            self.send(&counters, &mut local, &peers, now);
+            let peers = self.remote_recipients(now);
+            self.send(&counters, &mut remote, &peers, now);
         }
     }
 
-    fn send(&self, counters: &Counters, rotation: &mut LoadRotation, now: Duration) {
-        let local_peers = self.peers.lock().local_peers();
+    fn local_recipients(&self, now: Duration) -> Vec<SocketAddr> {
+        let known = self.peers.lock().local_peers();
+        let mut balancer = self.shared.lock();
+        balancer.refresh_domain_load(now, self.own, known)
+    }
+
+    /// Recipients in other failure domains; none if they are so many that what they
+    /// report would be too old to decide by.
+    fn remote_recipients(&self, now: Duration) -> Vec<SocketAddr> {
+        let known = self.peers.lock().remote_peers();
+        if known.len() > MAX_REMOTE_PEERS {
+            return Vec::new();
+        }
         let mut balancer = self.shared.lock();
-        let peers = balancer.refresh_domain_load(now, self.own, local_peers);
+        balancer.refresh_remote_load(now, self.own, known)
+    }
+
+    fn send(
+        &self,
+        counters: &Counters,
+        rotation: &mut LoadRotation,
+        peers: &[SocketAddr],
+        now: Duration,
+    ) {
         if peers.is_empty() || !rotation.is_due(now) {
             return;
         }
+        let mut balancer = self.shared.lock();
         let Some(mut report) = balancer.load_report(now) else {
             return;
         };
@@ -58,7 +89,7 @@
         };
         let max_bytes = rotation.report_bytes(peers.len());
         let datagram = seal(self.peers.key.as_ref(), &message, max_bytes);
-        for peer in rotation.next_peers(&peers, datagram.len()) {
+        for peer in rotation.next_peers(peers, datagram.len()) {
             self.send_to(counters, &datagram, peer);
         }
     }
@@ -97,9 +128,10 @@
 fn apply(shared: &Shared, counters: &Counters, message: LoadMessage) {
     let now = shared.clock.now();
     let mut balancer = shared.lock();
-    // A VM of another failure domain may have got the address of a peer that was here.
-    let local = message.domain == balancer.domain();
-    let counts = local && balancer.record_load_report(now, message.from, message.report);
+    let counts = match message.domain == balancer.domain() {
+        true => balancer.record_load_report(now, message.from, message.report),
+        false => balancer.record_remote_report(now, message.from, message.report),
+    };
     drop(balancer);
     if !counts {
         counters.add(Count::LoadReportsIgnored, 1);
