feat(cookie): report refusals by room like those by the limit in flight

Cause: the log and the gauge of overload showed the limit of the controller that no longer decides. Change: the limit on this balancer's requests that followed from its last refusal is reported for a second.

--- a/crates/cookie/src/overload.rs
+++ b/crates/cookie/src/overload.rs
@@ -349,10 +349,16 @@
             let admission = admissions.get_mut(service);
             let admission = admission.filter(|a| a.has_lasting_flows(cfg));
             let budget = admission.as_ref().and_then(|a| a.budget_at(now));
-            let has_budget = admission.is_some().then_some(budget.is_some());
-            let Some(mut change) = load.take_change(now, service, has_budget) else {
+            let by_room = self.backlogs.get(service).and_then(|b| b.limit_at(now));
+            let decided = match (admission.is_some(), by_room) {
+                (true, _) => Some(budget.is_some()),
+                (false, Some(_)) => Some(true),
+                (false, None) => None,
+            };
+            let Some(mut change) = load.take_change(now, service, decided) else {
                 continue;
             };
+            change.limit = by_room.or(change.limit);
             if let Some(admission) = admission {
                 change.budget_per_s = budget.map(|b| b.round() as u32);
                 change.slots_per_s = admission.slots_per_s().map(|s| s.round() as u32);
--- a/crates/cookie/src/overload/room.rs
+++ b/crates/cookie/src/overload/room.rs
@@ -24,6 +24,9 @@
 /// Time within which a backlog is to drain. Clients wait for longer than that.
 const BACKLOG_DRAINS_WITHIN: Duration = Duration::from_secs(2);
 
+/// Time without refusals after which a service is no longer reported as overloaded.
+const REFUSALS_END_AFTER: Duration = Duration::from_secs(1);
+
 /// Requests at the targets of a service, and the slots for them.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Room {
@@ -42,9 +45,18 @@
         (self.own + self.others) / self.slots.max(f64::EPSILON)
     }
 
-    fn is_within(&self, per_slot: f64, least: f64) -> bool {
-        let limit = per_slot * self.slots;
-        self.own + self.others < limit || self.own < (limit * self.own_share).max(least)
+    /// Whether new requests wait at most targets.
+    fn is_crowded(&self) -> bool {
+        self.per_slot() >= DRAINED_PER_SLOT
+    }
+
+    /// Requests through this balancer while all targets have this many.
+    fn own_limit(&self, per_slot: f64, least: f64) -> f64 {
+        (per_slot * self.slots * self.own_share).max(least)
+    }
+
+    fn admits(&self, per_slot: f64, least: f64) -> bool {
+        self.per_slot() < per_slot || self.own < self.own_limit(per_slot, least)
     }
 }
 
@@ -56,6 +68,8 @@
     /// Whether hardly any request waited when the last flow was decided.
     drained: bool,
     service_time: ServiceTime,
+    /// When a flow was last refused, and the limit on the requests through this balancer.
+    refused: Option<(Duration, f64)>,
 }
 
 impl Backlog {
@@ -85,7 +99,7 @@
         least: f64,
         urgent_factor: f64,
     ) -> bool {
-        self.drained = room.per_slot() < DRAINED_PER_SLOT;
+        self.drained = !room.is_crowded();
         if self.drained {
             self.since = None;
         } else if room.per_slot() >= per_slot {
@@ -95,7 +109,18 @@
             true => per_slot,
             false => FULL_PER_SLOT,
         };
-        room.is_within(limit * urgent_factor, least)
+        let limit = limit * urgent_factor;
+        let admitted = room.admits(limit, least);
+        if !admitted {
+            self.refused = Some((now, room.own_limit(limit, least)));
+        }
+        admitted
+    }
+
+    /// Limit on the requests through this balancer; `None` if no flow was refused lately.
+    pub fn limit_at(&self, now: Duration) -> Option<u32> {
+        let (at, limit) = self.refused?;
+        (now < at + REFUSALS_END_AFTER).then_some(limit.round() as u32)
     }
 
     /// Whether the queues are to be kept short.
--- a/crates/cookie/src/overload/service.rs
+++ b/crates/cookie/src/overload/service.rs
@@ -145,18 +145,18 @@
     }
 
     /// Returns what happened since the last call if the service is overloaded or has
-    /// just ceased to be. `has_budget` is whether a budget refuses new flows, if one
-    /// decides instead of the limit.
+    /// just ceased to be. `decided` is whether new flows are refused, if that is
+    /// decided otherwise than by the limit.
     pub fn take_change(
         &mut self,
         now: Duration,
         service: &Arc<str>,
-        has_budget: Option<bool>,
+        decided: Option<bool>,
     ) -> Option<OverloadChange> {
-        let limit = self.limit_at(now).filter(|_| has_budget.is_none());
+        let limit = self.limit_at(now).filter(|_| decided.is_none());
         let refused = std::mem::take(&mut self.refused);
         let accepted = std::mem::take(&mut self.accepted);
-        let limited = has_budget.unwrap_or(limit.is_some());
+        let limited = decided.unwrap_or(limit.is_some());
         let overloaded = limited && (refused > 0 || self.reported);
         let was_reported = std::mem::replace(&mut self.reported, overloaded);
         (was_reported || overloaded).then(|| OverloadChange {
