refactor(cookie): a folder for each decision; corrections of a restored store

Peers tell a balancer that starts also the unconfirmed targets. Tests of the cookie crate and the linter pass.

--- /dev/null
+++ b/crates/cookie/src/admission.rs
@@ -0,0 +1,10 @@
+//! Whether a new flow is accepted at all.
+//!
+//! Load: more requests than the targets of a service can process, for a moment or for
+//! long. Three deciders, by what is known: a budget of requests where flows stay open
+//! ([`overload`], `admission`), the room at all targets where the load of all balancers
+//! is known (`room`), and a limit on the own requests in flight otherwise (`service`).
+
+pub(crate) mod admit_flow;
+pub(crate) mod overload;
+pub(crate) mod overload_config;
--- a/crates/cookie/src/admit_flow.rs
+++ b/crates/cookie/src/admission/admit_flow.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::overload::{Capacity, FULL_PER_SLOT, NewFlow, Room, offered_per_s};
-use crate::presence::Target;
+use crate::admission::overload::{Capacity, FULL_PER_SLOT, NewFlow, Room, offered_per_s};
+use crate::targets::presence::Target;
 use crate::{Balancer, Segment};
 
 /// Part of a cold target's slots that counts as capacity; it takes about twice as long.
--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -10,19 +10,19 @@
 use rand_chacha::ChaCha8Rng;
 use sequoiatrail_types::StoreRevision;
 
-use crate::attempts::RecentAttempts;
-use crate::departures::HeardDepartures;
-use crate::directory::TargetChange;
+use crate::admission::overload::Overload;
 use crate::effects::Pending;
-use crate::evidence::Evidence;
-use crate::load_exchange::OwnLoad;
-use crate::overload::Overload;
-use crate::pace::Paces;
-use crate::reports::Reports;
-use crate::routes::ManifestOutcome;
-use crate::silence::probe_if_suspect;
-use crate::unknown::UnknownCookies;
-use crate::warmup::WarmupQuota;
+use crate::exchange::load_exchange::OwnLoad;
+use crate::liveness::attempts::RecentAttempts;
+use crate::liveness::evidence::Evidence;
+use crate::liveness::reports::Reports;
+use crate::liveness::silence::probe_if_suspect;
+use crate::packets::routes::ManifestOutcome;
+use crate::packets::unknown::UnknownCookies;
+use crate::placement::pace::Paces;
+use crate::placement::warmup::WarmupQuota;
+use crate::targets::corrections::HeardCorrections;
+use crate::targets::directory::TargetChange;
 use crate::{
     Config, Directory, DomainLoad, Effects, EvacuationChange, EvacuationEvent, EvacuationList,
     Evacuations, FlowTable, Manifest, Routes, TargetEvent, TargetId,
@@ -42,7 +42,7 @@
     pub(crate) routes: Routes,
     pub(crate) manifest: Option<Arc<Manifest>>,
     pub(crate) directory: Directory,
-    pub(crate) heard_departures: HeardDepartures,
+    pub(crate) heard_corrections: HeardCorrections,
     pub(crate) evacuations: Evacuations,
     pub(crate) warmup: WarmupQuota,
     pub(crate) flows: FlowTable,
@@ -72,7 +72,7 @@
             routes: Routes::default(),
             manifest: None,
             directory: Directory::default(),
-            heard_departures: HeardDepartures::default(),
+            heard_corrections: HeardCorrections::default(),
             evacuations: Evacuations::default(),
             warmup: WarmupQuota::default(),
             flows: FlowTable::default(),
@@ -211,7 +211,7 @@
     ) -> Vec<(TargetId, TargetEvent)> {
         let isolated = self.is_isolated();
         let events = self.directory.replace(now, revision, list, store_stable);
-        self.handle_target_events(isolated, &events);
+        self.handle_target_events(now, isolated, &events);
         events
     }
 
@@ -225,7 +225,7 @@
     ) -> Vec<(TargetId, TargetEvent)> {
         let isolated = self.is_isolated();
         let events = self.directory.apply(now, revision, changes, store_stable);
-        self.handle_target_events(isolated, &events);
+        self.handle_target_events(now, isolated, &events);
         events
     }
 
@@ -233,11 +233,12 @@
     /// the changes (`isolated`), those that joined count as unreachable until they answer.
     pub(crate) fn handle_target_events(
         &mut self,
+        now: Duration,
         isolated: bool,
         events: &[(TargetId, TargetEvent)],
     ) {
         self.reset_lost_flows(events);
-        self.apply_departures(events);
+        self.apply_corrections(now, events);
         let joined = events
             .iter()
             .filter(|(_, event)| *event == TargetEvent::Added);
@@ -301,7 +302,7 @@
         self.pending.overloads.extend(overloads);
         self.unknown.sweep(now, self.cfg.flow_max_age);
         let retention = self.cfg.flow_max_age + idle;
-        self.heard_departures.sweep(now, retention);
+        self.heard_corrections.sweep(now, retention);
         let events = self.directory.sweep(now, retention);
         self.reset_lost_flows(&events);
         // Silent targets are probed until they answer, even without traffic.
--- a/crates/cookie/src/load.rs
+++ b/crates/cookie/src/exchange/load.rs
@@ -1,6 +1,6 @@
 //! Load of each target through this balancer.
 
-use crate::flows::Flow;
+use crate::packets::flows::Flow;
 
 /// Load of one target through this balancer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/cookie/src/load_exchange.rs
+++ b/crates/cookie/src/exchange/load_exchange.rs
@@ -10,8 +10,8 @@
 use foldhash::quality::FixedState;
 use hashbrown::HashMap;
 
-use crate::load_rates::LoadRates;
-use crate::presence::Target;
+use crate::exchange::load_rates::LoadRates;
+use crate::targets::presence::Target;
 use crate::{Balancer, LoadReport, PriorityDemand, ServiceLoadReport, TargetLoadReport};
 
 /// Maximum number of services per report.
--- a/crates/cookie/src/health.rs
+++ b/crates/cookie/src/liveness/health.rs
@@ -13,7 +13,7 @@
 
 use std::time::Duration;
 
-use crate::evidence::Verdict;
+use crate::liveness::evidence::Verdict;
 
 /// Settings of [`Health`].
 #[derive(Clone, Copy, Debug)]
--- a/crates/cookie/src/observe.rs
+++ b/crates/cookie/src/liveness/observe.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use crate::flows::Flow;
-use crate::overload::ResponseSample;
-use crate::silence::probe_if_suspect;
+use crate::admission::overload::ResponseSample;
+use crate::liveness::silence::probe_if_suspect;
+use crate::packets::flows::Flow;
 use crate::{Balancer, FlowId, Segment, TargetKey};
 
 /// Data of the largest packet. An acknowledgement of more covers two packets, so that the
--- a/crates/cookie/src/silence.rs
+++ b/crates/cookie/src/liveness/silence.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::decision::ResetReason;
 use crate::effects::Pending;
-use crate::presence::Target;
+use crate::packets::decision::ResetReason;
+use crate::targets::presence::Target;
 use crate::{
     Balancer, Config, FlowReset, ProbeOutcome, ProbeRequest, TargetEvent, TargetId, TargetKey,
 };
--- a/crates/cookie/src/decide.rs
+++ b/crates/cookie/src/packets/decide.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::decision::{Decision, DropReason, PlaceReason, ResetReason};
-use crate::flows::Flow;
-use crate::presence::Target;
-use crate::silence::probe_if_suspect;
+use crate::liveness::silence::probe_if_suspect;
+use crate::packets::decision::{Decision, DropReason, PlaceReason, ResetReason};
+use crate::packets::flows::Flow;
+use crate::targets::presence::Target;
 use crate::{Balancer, Cookie, FlowId, Route, Segment, TargetKey};
 
 impl Balancer {
--- a/crates/cookie/src/place.rs
+++ b/crates/cookie/src/placement/place.rs
@@ -6,8 +6,8 @@
 use rand::Rng;
 use rand::RngExt;
 
-use crate::cross_domain_share::cross_domain_share;
-use crate::neighbor_cost::NeighborCost;
+use crate::placement::cross_domain_share::cross_domain_share;
+use crate::placement::neighbor_cost::NeighborCost;
 use crate::{Load, NeighborLoad, TargetKey};
 
 /// Cost of a target used only as a last resort, in flows per slot.
--- a/crates/cookie/src/place_flow.rs
+++ b/crates/cookie/src/placement/place_flow.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use crate::decision::ResetReason;
-use crate::presence::Target;
-use crate::silence::probe_if_suspect;
+use crate::liveness::silence::probe_if_suspect;
+use crate::packets::decision::ResetReason;
+use crate::targets::presence::Target;
 use crate::{Balancer, Candidate, Suspicion, TargetKey, choose};
 
 impl Balancer {
--- a/crates/cookie/src/departures.rs
+++ b/crates/cookie/src/targets/corrections.rs
@@ -1,25 +1,28 @@
-//! Targets that left, as other balancers know it.
+//! What other balancers know better than the list of a restored store.
 //!
-//! Fault: the store is restored from a copy that lists targets which have left since. A
-//! balancer that ran all the time knows them, but one that starts afterwards has only the
-//! list, and would send them flows. It therefore asks the others once.
+//! Fault: the store is restored from a copy that lists targets which have left since, and
+//! lacks those that joined. A balancer that ran all the time knows them, but one that
+//! starts afterwards has only the list: it would send flows to the former and reset those
+//! of the latter. It therefore asks the others once.
 
 use std::time::Duration;
 
 use hashbrown::HashMap;
 
-use crate::{Balancer, TargetEvent, TargetId};
+use crate::{Balancer, TargetEntry, TargetEvent, TargetId};
 
 /// Maximum number of targets of each kind that are told.
 const MAX_TOLD: usize = 256;
 
-/// Targets that get no new flows although the store may list them as ready.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Departures {
+/// Targets whose entry in the store may be out of date.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Corrections {
     /// Targets that are about to leave; they never become ready again.
     pub draining: Vec<TargetId>,
     /// Targets that have left or are silent.
     pub gone: Vec<TargetId>,
+    /// Targets that the store lacks and that may write their entries again.
+    pub unconfirmed: Vec<TargetEntry>,
 }
 
 /// How far a target has left.
@@ -32,11 +35,12 @@
 /// What other balancers said of targets that this one doesn't know: their list may come
 /// later.
 #[derive(Debug, Default)]
-pub(crate) struct HeardDepartures {
+pub(crate) struct HeardCorrections {
     targets: HashMap<TargetId, (Departure, Duration)>,
+    unconfirmed: Vec<TargetEntry>,
 }
 
-impl HeardDepartures {
+impl HeardCorrections {
     /// Forgets what was said longer ago than `retention`.
     pub fn sweep(&mut self, now: Duration, retention: Duration) {
         self.targets.retain(|_, (_, at)| now < *at + retention);
@@ -44,43 +48,61 @@
 }
 
 impl Balancer {
-    /// Targets that have left or are about to, as far as this balancer knows.
-    pub fn departures(&self) -> Departures {
+    /// What this balancer knows better than a restored store.
+    pub fn corrections(&self) -> Corrections {
         let targets = || self.directory.iter();
         let draining = targets().filter(|t| t.is_draining());
         let gone = targets().filter(|t| t.is_gone() || t.health.is_silent());
-        Departures {
+        Corrections {
             draining: draining.map(|t| t.entry.id).take(MAX_TOLD).collect(),
             gone: gone.map(|t| t.entry.id).take(MAX_TOLD).collect(),
+            unconfirmed: self
+                .directory
+                .unconfirmed()
+                .take(MAX_TOLD)
+                .cloned()
+                .collect(),
         }
     }
 
     /// Records what another balancer said. Targets that drain get no new flows, those that
-    /// have left only after they answered a probe; open flows go on.
-    pub fn record_departures(&mut self, now: Duration, departures: Departures) {
-        let gone = departures.gone.into_iter().map(|id| (id, Departure::Gone));
-        let draining = departures.draining.into_iter();
+    /// have left only after they answered a probe; open flows go on. Unknown targets are
+    /// added until the store had time to confirm them.
+    pub fn record_corrections(&mut self, now: Duration, corrections: Corrections) {
+        self.heard_corrections.unconfirmed = corrections.unconfirmed;
+        self.apply_unconfirmed(now);
+        let gone = corrections.gone.into_iter().map(|id| (id, Departure::Gone));
+        let draining = corrections.draining.into_iter();
         let draining = draining.map(|id| (id, Departure::Draining));
         for (id, departure) in gone.chain(draining) {
             match self.directory.key_of(id) {
                 Some(_) => self.apply_departure(id, departure),
                 None => {
                     let heard = (departure, now);
-                    self.heard_departures.targets.insert(id, heard);
+                    self.heard_corrections.targets.insert(id, heard);
                 }
             }
         }
     }
 
     /// Applies what was said of targets that were listed just now.
-    pub(crate) fn apply_departures(&mut self, events: &[(TargetId, TargetEvent)]) {
+    pub(crate) fn apply_corrections(&mut self, now: Duration, events: &[(TargetId, TargetEvent)]) {
+        self.apply_unconfirmed(now);
         for (id, _) in events {
-            if let Some((departure, _)) = self.heard_departures.targets.remove(id) {
+            if let Some((departure, _)) = self.heard_corrections.targets.remove(id) {
                 self.apply_departure(*id, departure);
             }
         }
     }
 
+    /// Adds unconfirmed targets that are still unknown, once there is a list.
+    fn apply_unconfirmed(&mut self, now: Duration) {
+        if self.directory.is_loaded() {
+            let unconfirmed = std::mem::take(&mut self.heard_corrections.unconfirmed);
+            self.directory.add_unconfirmed(now, unconfirmed);
+        }
+    }
+
     fn apply_departure(&mut self, id: TargetId, departure: Departure) {
         match departure {
             Departure::Draining => self.directory.mark_draining(id),
--- a/crates/cookie/src/evacuations.rs
+++ b/crates/cookie/src/targets/evacuations.rs
@@ -11,7 +11,7 @@
 use hashbrown::HashSet;
 use sequoiatrail_types::StoreRevision;
 
-use crate::list_revision::{AcceptedList, ListRevision};
+use crate::targets::list_revision::{AcceptedList, ListRevision};
 
 /// Time for which an evacuation stays in force that a restored store lacks. The operator
 /// writes it again if it was only lost there.
--- a/crates/cookie/src/snapshot.rs
+++ b/crates/cookie/src/targets/snapshot.rs
@@ -6,8 +6,8 @@
 use sequoiatrail_types::StoreRevision;
 use snafu::{Snafu, ensure};
 
-use crate::directory::TargetChange;
-use crate::routes::ManifestOutcome;
+use crate::packets::routes::ManifestOutcome;
+use crate::targets::directory::TargetChange;
 use crate::{
     Balancer, EvacuationEvent, EvacuationList, Manifest, ManifestVersion, TargetEntry, TargetEvent,
     TargetId,
@@ -147,7 +147,7 @@
         let targets = self
             .directory
             .replace_from_peer(now, snapshot.revision, list);
-        self.handle_target_events(isolated, &targets);
+        self.handle_target_events(now, isolated, &targets);
         let evacuations = self.apply_peer_evacuations(now, snapshot.evacuations);
         Ok(SnapshotOutcome {
             manifest,
--- a/crates/cookie/tests/restored_store.rs
+++ b/crates/cookie/tests/restored_store.rs
@@ -258,10 +258,10 @@
 
 #[test]
 fn a_balancer_that_starts_after_a_restore_uses_no_target_that_peers_saw_leave() {
-    let departures = running_through_a_restore().balancer.departures();
+    let corrections = running_through_a_restore().balancer.corrections();
     let mut started = started_after_the_restore();
     let now = started.now;
-    started.balancer.record_departures(now, departures);
+    started.balancer.record_corrections(now, corrections);
     assert!(!is_used(&mut started, TargetId(2), 100..120));
     assert!(!is_used(&mut started, TargetId(3), 200..220));
     let probes = started.complete_probes(|_| true);
@@ -273,10 +273,10 @@
 
 #[test]
 fn departures_that_are_heard_before_the_first_list_count_too() {
-    let departures = running_through_a_restore().balancer.departures();
+    let corrections = running_through_a_restore().balancer.corrections();
     let mut started = Sim::empty();
     let now = started.now;
-    started.balancer.record_departures(now, departures);
+    started.balancer.record_corrections(now, corrections);
     let routes = vec![route(IDEMPOTENT, &[("app", 1)])];
     started
         .balancer
@@ -286,14 +286,41 @@
     assert!(!is_used(&mut started, TargetId(3), 200..220));
 }
 
+#[test]
+fn a_balancer_that_starts_after_a_restore_knows_targets_that_the_store_lacks() {
+    let mut running = Sim::new(2, 0);
+    restore(&mut running, 1, &[1]);
+    for list_first in [true, false] {
+        let mut started = Sim::empty();
+        let now = started.now;
+        let corrections = running.balancer.corrections();
+        if list_first {
+            restore(&mut started, 1, &[1]);
+        }
+        started.balancer.record_corrections(now, corrections);
+        if !list_first {
+            restore(&mut started, 1, &[1]);
+        }
+        let routes = vec![route(IDEMPOTENT, &[("app", 1)])];
+        started
+            .balancer
+            .apply_manifest(manifest(1, routes), 1.into());
+        let seg = data(1, IDEMPOTENT, TargetId(2).cookie(), 5, 9);
+        assert_eq!(forwarded(started.decide(seg)).0, TargetId(2));
+        started.advance(ms(4_000));
+        let gone = started.balancer.sweep(started.now);
+        assert_eq!(gone, [(TargetId(2), TargetEvent::Gone)]);
+    }
+}
+
 #[test]
 fn open_flows_to_a_target_that_peers_saw_leave_go_on() {
-    let departures = running_through_a_restore().balancer.departures();
+    let corrections = running_through_a_restore().balancer.corrections();
     let mut started = started_after_the_restore();
     let open = data(1, IDEMPOTENT, TargetId(2).cookie(), 5, 9);
     forwarded(started.decide(open));
     let now = started.now;
-    started.balancer.record_departures(now, departures);
+    started.balancer.record_corrections(now, corrections);
     let next = data(1, IDEMPOTENT, TargetId(2).cookie(), 6, 10);
     assert_eq!(forwarded(started.decide(next)).0, TargetId(2));
     assert_eq!(started.effects().resets, []);
--- a/crates/daemon/src/cookie/peers/message.rs
+++ b/crates/daemon/src/cookie/peers/message.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use sequoiatrail_cookie::{Departures, KnownRevisions, ManifestVersion, PeerInfo, Snapshot};
+use sequoiatrail_cookie::{Corrections, KnownRevisions, ManifestVersion, PeerInfo, Snapshot};
 use sequoiatrail_types::StoreRevision;
 use sequoiatrail_wire::{Key, TAG_BYTES};
 use serde::de::DeserializeOwned;
@@ -52,9 +52,9 @@
     pub evacuations_at: Option<StoreRevision>,
     /// Whether to include a snapshot, since the requester can't reach the store.
     pub wants_snapshot: bool,
-    /// Whether to include the targets that have left, since the requester started lately.
+    /// Whether to include corrections of a restored store, since the requester started lately.
     #[serde(default)]
-    pub wants_departures: bool,
+    pub wants_corrections: bool,
 }
 
 /// A response to a [`PeerRequest`].
@@ -79,9 +79,9 @@
     pub age_ms: u64,
     /// State newer than the requester's, if requested.
     pub snapshot: Option<Snapshot>,
-    /// Targets that have left, if requested.
+    /// What the responder knows better than a restored store, if requested.
     #[serde(default)]
-    pub departures: Option<Departures>,
+    pub corrections: Option<Corrections>,
 }
 
 impl PeerRequest {
--- a/crates/daemon/src/cookie/peers/poller.rs
+++ b/crates/daemon/src/cookie/peers/poller.rs
@@ -27,9 +27,9 @@
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Largest response, in bytes: a manifest and targets of the largest size.
 const MAX_RESPONSE_BYTES: u64 = 4 << 20;
-/// Number of peers to ask which targets have left: the first one may have started at the
+/// Number of peers to ask for corrections: the first one may have started at the
 /// same time.
-const ENOUGH_DEPARTURES: u32 = 3;
+const ENOUGH_CORRECTIONS: u32 = 3;
 /// Source of changes in log lines.
 const SOURCE: &str = "peer";
 
@@ -60,8 +60,8 @@
     counters: Arc<Counters>,
     /// Address of this balancer's own peer API.
     own: SocketAddr,
-    /// Number of peers that told which targets have left.
-    departures_heard: Cell<u32>,
+    /// Number of peers that told what they know better than a restored store.
+    corrections_heard: Cell<u32>,
 }
 
 impl Poller {
@@ -71,7 +71,7 @@
             shared,
             peers,
             own,
-            departures_heard: Cell::new(0),
+            corrections_heard: Cell::new(0),
         }
     }
 
@@ -158,7 +158,7 @@
             revision: directory.revision(),
             evacuations_at: balancer.followed_evacuations(),
             wants_snapshot: urgent,
-            wants_departures: self.departures_heard.get() < ENOUGH_DEPARTURES,
+            wants_corrections: self.corrections_heard.get() < ENOUGH_CORRECTIONS,
         }
     }
 
@@ -174,9 +174,9 @@
         if change == Some(PeerChange::Recovered) {
             self.shared.log.emit(Event::PeerBack { peer });
         }
-        if let Some(departures) = response.departures {
-            self.departures_heard.update(|heard| heard + 1);
-            self.shared.lock().record_departures(now, departures);
+        if let Some(corrections) = response.corrections {
+            self.corrections_heard.update(|heard| heard + 1);
+            self.shared.lock().record_corrections(now, corrections);
         }
         let age = Duration::from_millis(response.age_ms);
         if let Some(snapshot) = response.snapshot {
--- a/crates/daemon/src/cookie/peers/server.rs
+++ b/crates/daemon/src/cookie/peers/server.rs
@@ -123,8 +123,8 @@
         let mut response = self.response_without_snapshot(now, &request.from);
         let context = request.nonce.to_be_bytes();
         response.snapshot = self.snapshot_for(&request);
-        if request.wants_departures {
-            response.departures = Some(self.shared.lock().departures());
+        if request.wants_corrections {
+            response.corrections = Some(self.shared.lock().corrections());
         }
         let bytes = seal(key, &context, &response)?;
         if response.snapshot.is_none() {
@@ -157,7 +157,7 @@
             revision: balancer.directory().revision(),
             age_ms: self.shared.targets_age(now).as_millis() as u64,
             snapshot: None,
-            departures: None,
+            corrections: None,
         }
     }
 
