--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -158,6 +158,11 @@
         &self.domain_load
     }
 
+    /// Load of the other failure domains, in a small fleet.
+    pub fn remote_load(&self) -> &DomainLoad {
+        &self.remote_load
+    }
+
     /// The evacuations in force.
     pub fn evacuations(&self) -> &Evacuations {
         &self.evacuations
--- a/crates/daemon/src/cookie/metrics.rs
+++ b/crates/daemon/src/cookie/metrics.rs
@@ -105,6 +105,11 @@
         "Other balancers of the failure domain that are known to run",
         |s| s.lock().domain_load().expected() as u64,
     );
+    gauge(
+        "remote_load_peers_heard",
+        "Balancers of other failure domains whose load report counts",
+        |s| s.lock().remote_load().heard() as u64,
+    );
     gauge(
         "load_age_milliseconds",
         "Age of the oldest load report that counts",
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -392,7 +392,7 @@
     719 Warning ServiceOverloaded {
         /// Service name.
         service: String,
-        /// Limit on its requests in flight through this balancer; none when the overload has ended, or if its routes differ in priority.
+        /// Limit on its requests in flight through this balancer, by its share of the room at all targets or by response times; none when the overload has ended, or if a budget decides instead.
         limit: Option<u32>,
         /// Requests per second that this balancer may send to its targets, if its routes differ in priority; none when the overload has ended.
         budget_per_s: Option<u32>,
