--- a/crates/daemon/tests/load_exchange.rs
+++ b/crates/daemon/tests/load_exchange.rs
@@ -64,7 +64,7 @@
 
 #[test]
 fn a_balancer_of_another_failure_domain_counts_apart_from_the_own_one() {
-    let mut platform = platform();
+    let platform = platform();
     let _app = platform.target(0x11, "app");
     let mut ports = Ports::new();
     let listen = [ports.allocate(), ports.allocate()];
