refactor(cookie): page of load shedding, and no sum of reports where it isn't used

Cause: the module page told of one of three deciders; in a large fleet each first SYN summed all reports of the failure domain in vain; corrections of a second peer replaced those of the first before a list was loaded. Change: the three are named in order; the unknown remote load ends the sum first; unconfirmed targets add up.

--- a/crates/cookie/src/admission/admit_flow.rs
+++ b/crates/cookie/src/admission/admit_flow.rs
@@ -61,8 +61,9 @@
     /// Requests at all targets of a service; `None` if those through other balancers, of
     /// this failure domain or of the others, are unknown.
     fn room(&self, now: Duration, service: &str) -> Option<Room> {
-        let local = self.domain_load.service_if_any(now, service)?;
+        // A large fleet doesn't know the remote load, and needs no sum of its reports.
         let remote = self.remote_load.service_if_any(now, service)?;
+        let local = self.domain_load.service_if_any(now, service)?;
         let offered = offered_per_s(&self.own_load.rates.demand_of(now, service));
         let others = offered_per_s(&local.demand) + offered_per_s(&remote.demand);
         let mut room = Room {
--- a/crates/cookie/src/admission/overload.rs
+++ b/crates/cookie/src/admission/overload.rs
@@ -1,21 +1,19 @@
-//! Load shedding: a limit on the requests in flight to an overloaded service.
+//! Load shedding: which new flows of a service are refused while it has more requests than
+//! its targets can process.
 //!
-//! When clients send more requests than all targets of a service can process,
-//! queues fill, every response is late, and retries add to the load. New flows are
-//! then accepted only while the number of requests in flight through this balancer
-//! is below a limit, so that the accepted ones are answered in time.
+//! Without it queues fill, every response is late, and retries add to the load. One of
+//! three decides:
 //!
-//! The service is overloaded while the median latency stays above what the latency
-//! goal allows for several intervals (a standing queue, as in CoDel). A slow target
-//! or a few slow requests don't raise the median. Each slow interval lowers the limit
-//! in proportion, every other one raises it by a constant (AIMD), so that balancers
-//! that share the targets reach similar limits without telling each other. Since the
-//! limit counts requests in flight, refusals end as soon as responses arrive or the
-//! load ends.
-//!
-//! A service whose routes differ in priority, with enough requests on flows that had one
-//! before, is limited by [`admission`] instead: from demand against capacity and the
-//! queues at its targets.
+//! - [`admission`], a budget from demand against capacity, if the routes of the service
+//!   differ in priority and enough requests are on flows that had one before;
+//! - else [`room`], from the requests at all targets, if the load of all balancers is
+//!   known;
+//! - else [`service`], a limit on the requests in flight through this balancer. The
+//!   service is overloaded while the median latency stays above what the latency goal
+//!   allows for several intervals (a standing queue, as in CoDel). Each slow interval
+//!   lowers the limit in proportion, every other one raises it by a constant (AIMD), so
+//!   that balancers that share the targets reach similar limits without telling each
+//!   other.
 
 mod admission;
 mod client_rank;
--- a/crates/cookie/src/targets/corrections.rs
+++ b/crates/cookie/src/targets/corrections.rs
@@ -37,6 +37,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct HeardCorrections {
     targets: HashMap<TargetId, (Departure, Duration)>,
+    /// Empty once a list is loaded.
     unconfirmed: Vec<TargetEntry>,
 }
 
@@ -69,7 +70,8 @@
     /// have left only after they answered a probe; open flows go on. Unknown targets are
     /// added until the store had time to confirm them.
     pub fn record_corrections(&mut self, now: Duration, corrections: Corrections) {
-        self.heard_corrections.unconfirmed = corrections.unconfirmed;
+        let unconfirmed = &mut self.heard_corrections.unconfirmed;
+        unconfirmed.extend(corrections.unconfirmed);
         self.apply_unconfirmed(now);
         let gone = corrections.gone.into_iter().map(|id| (id, Departure::Gone));
         let draining = corrections.draining.into_iter();
