fix(cookie): the room doesn't decide right after a start

Change: for 3 s after its first flow a balancer uses the limit in flight, as before. New test a_backlog_right_after_a_start_is_served failed before: 17 flows refused, 2 requests given up.

--- a/crates/cookie/src/admission/overload.rs
+++ b/crates/cookie/src/admission/overload.rs
@@ -7,7 +7,8 @@
 //! - [`admission`], a budget from demand against capacity, if the routes of the service
 //!   differ in priority and enough requests are on flows that had one before;
 //! - else [`room`], from the requests at all targets, if the load of all balancers is
-//!   known;
+//!   known, and for some seconds already: until then a share of the demand is a guess, and
+//!   a wrong one refuses what would be served late;
 //! - else [`service`], a limit on the requests in flight through this balancer. The
 //!   service is overloaded while the median latency stays above what the latency goal
 //!   allows for several intervals (a standing queue, as in CoDel). Each slow interval
@@ -293,7 +294,8 @@
         admitted
     }
 
-    /// Whether to accept a new flow, if the requests at all targets are known.
+    /// Whether to accept a new flow, if the requests at all targets are known and this
+    /// balancer has run for long enough to know its share of the demand.
     fn admits_by_room(
         &mut self,
         cfg: &OverloadConfig,
@@ -312,7 +314,8 @@
         };
         let backlog = self.backlogs.entry(Arc::clone(service)).or_default();
         let per_slot = backlog.goal_per_slot(goal, path);
-        Some(backlog.admits(now, room, per_slot, cfg.min_limit.into(), urgent_factor))
+        let admitted = backlog.admits(now, room, per_slot, cfg.min_limit.into(), urgent_factor);
+        backlog.knows_shares(now).then_some(admitted)
     }
 
     /// Limit on a service's requests in flight; `None` if it is not overloaded.
--- a/crates/cookie/tests/room.rs
+++ b/crates/cookie/tests/room.rs
@@ -16,11 +16,11 @@
 /// Within it, the time in which a backlog may still be absorbed.
 const ABSORBED: Duration = Duration::from_secs(2);
 
-/// Balancers with an urgent route, after 3 s in which all requests are served.
-fn replay(knows_fleet: bool) -> Replay {
+/// Balancers with an urgent route that have just started.
+fn started() -> Replay {
     let mut replay = Replay::with_targets(BALANCERS, TARGETS, OverloadConfig::default());
     replay.exchanges_load = true;
-    replay.knows_fleet = knows_fleet;
+    replay.knows_fleet = true;
     replay.requests_per_flow = 1;
     replay.retry_delay = ms(5);
     let mut urgent = route(NON_IDEMPOTENT, &[("app", 1)]);
@@ -29,6 +29,12 @@
     for sim in &mut replay.sims {
         sim.balancer.apply_manifest(manifest.clone(), 2.into());
     }
+    replay
+}
+
+/// The same after 3 s in which all requests are served.
+fn replay() -> Replay {
+    let mut replay = started();
     replay.run_load(0.5, ms(3_000), &[IDEMPOTENT, IDEMPOTENT, NON_IDEMPOTENT]);
     replay.take_counts();
     replay.attempts.clear();
@@ -62,7 +68,7 @@
 #[test]
 fn most_slots_work_on_requests_that_are_answered_in_time() {
     for load in [1.3, 2.0, 4.0, 14.0] {
-        let mut replay = replay(true);
+        let mut replay = replay();
         let (_, all) = overloaded(&mut replay, load);
         let goodput = goodput(all, &replay);
         assert!(goodput >= 0.9, "load {load}: {goodput:.2}, {all:?}");
@@ -72,7 +78,7 @@
 #[test]
 fn urgent_requests_are_served_while_others_are_refused() {
     for load in [1.3, 2.0, 4.0, 14.0] {
-        let mut replay = replay(true);
+        let mut replay = replay();
         let (urgent, all) = overloaded(&mut replay, load);
         let sum = urgent.in_time + urgent.late + urgent.given_up;
         let served = f64::from(urgent.in_time) / f64::from(sum);
@@ -83,7 +89,7 @@
 #[test]
 fn targets_reject_few_of_the_requests_that_are_let_through() {
     for load in [1.3, 2.0, 4.0, 14.0] {
-        let mut replay = replay(true);
+        let mut replay = replay();
         let (_, all) = overloaded(&mut replay, load);
         let arrivals = all.in_time + all.late + replay.rejected;
         let rejected = f64::from(replay.rejected) / f64::from(arrivals);
@@ -94,7 +100,7 @@
 #[test]
 fn balancers_before_the_same_targets_refuse_equal_parts_of_their_demand() {
     for load in [1.3, 2.0, 4.0, 14.0] {
-        let mut replay = replay(true);
+        let mut replay = replay();
         overloaded(&mut replay, load);
         let refused = |balancer: usize| {
             let attempts = replay.attempts.iter();
@@ -113,9 +119,19 @@
 
 #[test]
 fn a_backlog_that_fits_into_the_queues_of_the_targets_is_served() {
-    let mut replay = replay(true);
+    let mut replay = replay();
     replay.run_load(1.3, ms(200), &mix(1.3));
     replay.run_load(0.5, ms(1_000), &mix(0.5));
     let counts = replay.take_counts();
     assert_eq!(counts.given_up, 0, "{counts:?}");
 }
+
+#[test]
+fn a_backlog_right_after_a_start_is_served() {
+    let mut replay = started();
+    replay.run_load(1.3, ms(300), &mix(1.3));
+    replay.run_load(0.5, ms(1_000), &mix(0.5));
+    let refused = replay.attempts.iter().filter(|a| !a.admitted).count();
+    let counts = replay.take_counts();
+    assert_eq!((refused, counts.given_up), (0, 0), "{counts:?}");
+}
