--- a/crates/settings/src/cookie.rs
+++ b/crates/settings/src/cookie.rs
@@ -18,7 +18,7 @@
         peers_listen: Option<SocketAddr> = None, "an IP address and port", check::socket;
         /// UDP port on which the balancers of a failure domain report suspect targets to each other, the same on all of them; 0 means the port of `cookie.peers_listen`.
         reports_port: u16 = 0, "0 to 65535", check::number::<0, 65_535>;
-        /// Whether the balancers of a failure domain tell each other their load, on the port of the reports.
+        /// Whether the balancers of a failure domain, and of a fleet with up to 24 in the others, tell each other their load, on the port of the reports.
         load_exchange: bool = false, "true, false", check::boolean;
         /// URL path of the readiness endpoint.
         readiness_path: String = "/readiness".into(), "text that begins with `/`", check::path;
