test(cookie): overload while the room takes over, listed as known red

Cause: three replay tests failed with their calm phase of 3 s once the room decided only 3 s after a start; the phase was lengthened to 6 s, which hid the case. Change: the case with 3 s and the same bounds is back as an ignored test and stands in KNOWN-RED.

--- a/crates/cookie/tests/room.rs
+++ b/crates/cookie/tests/room.rs
@@ -34,8 +34,12 @@
 
 /// The same after 6 s in which all requests are served: the room decides from the fourth on.
 fn replay() -> Replay {
+    replay_after(ms(6_000))
+}
+
+fn replay_after(calm: Duration) -> Replay {
     let mut replay = started();
-    replay.run_load(0.5, ms(6_000), &[IDEMPOTENT, IDEMPOTENT, NON_IDEMPOTENT]);
+    replay.run_load(0.5, calm, &[IDEMPOTENT, IDEMPOTENT, NON_IDEMPOTENT]);
     replay.take_counts();
     replay.attempts.clear();
     replay.rejected = 0;
@@ -135,3 +139,29 @@
     let counts = replay.take_counts();
     assert_eq!((refused, counts.given_up), (0, 0), "{counts:?}");
 }
+
+#[test]
+#[ignore = "KNOWN-RED: overload that begins while the room takes over"]
+fn overload_three_seconds_after_a_start_is_refused_equally() {
+    for load in [1.3, 2.0, 4.0, 14.0] {
+        let mut replay = replay_after(ms(3_000));
+        let (urgent, all) = overloaded(&mut replay, load);
+        let goodput = goodput(all, &replay);
+        let sum = urgent.in_time + urgent.late + urgent.given_up;
+        let served = f64::from(urgent.in_time) / f64::from(sum);
+        assert!(goodput >= 0.9, "load {load}: {goodput:.2}, {all:?}");
+        assert!(served >= 0.97, "load {load}: {urgent:?} of {all:?}");
+        let refused = |balancer: usize| {
+            let attempts = replay.attempts.iter();
+            let own = attempts.filter(|a| a.balancer == balancer && a.port == IDEMPOTENT);
+            let (refused, all) = own.fold((0, 0), |(refused, all), attempt| {
+                (refused + u32::from(!attempt.admitted), all + 1)
+            });
+            f64::from(refused) / f64::from(all)
+        };
+        let shares: Vec<f64> = (0..BALANCERS).map(refused).collect();
+        let least = shares.iter().copied().fold(1.0, f64::min);
+        let most = shares.iter().copied().fold(0.0, f64::max);
+        assert!(most - least <= 0.1, "load {load}: {shares:.2?}");
+    }
+}
