fix(cookie): idempotent requests on unknown flows to a silent target are reset at once

Cause: the balancer that placed a flow may die with the flow's target. Another one then forwarded the first request that it saw on the flow to the target that it knew to be silent; only a retransmission was reset, and after a rehash that arrives elsewhere. Change: such a request is reset if it is idempotent. A non-idempotent one may be a copy of one that runs, and stays.

--- a/crates/cookie/src/liveness/observe.rs
+++ b/crates/cookie/src/liveness/observe.rs
@@ -24,7 +24,7 @@
         let Some(mut flow) = remembered.filter(|flow| flow.target == key) else {
             self.end_flow(&seg.flow);
             self.adopt(now, seg, key);
-            return false;
+            return self.is_lost_on_unknown_flow(seg, key);
         };
         if flow.closed {
             flow.last_seen = now;
@@ -62,6 +62,17 @@
         silent && seg.data_len > 0 && (idempotent || !retransmitted)
     }
 
+    /// Whether a request on a flow that another balancer placed was sent to a silent
+    /// target and may be sent again. The balancer that knew the flow may have died with
+    /// the target. A non-idempotent request may be a copy of one that is running.
+    fn is_lost_on_unknown_flow(&self, seg: &Segment, key: TargetKey) -> bool {
+        let route = self.routes.get(seg.flow.route);
+        let target = self.directory.get(key);
+        seg.data_len > 0
+            && route.is_some_and(|r| r.idempotent)
+            && target.is_some_and(|t| t.health.is_silent())
+    }
+
     /// Records that the target has answered on this flow.
     fn record_answer(&mut self, now: Duration, seg: &Segment, flow: &mut Flow) {
         let Some(target) = self.directory.get_mut(flow.target) else {
--- a/crates/cookie/tests/silent_targets.rs
+++ b/crates/cookie/tests/silent_targets.rs
@@ -104,6 +104,23 @@
     assert_eq!(sim.effects().resets, []);
 }
 
+/// Load: a failure domain loses power, and its clients come to balancers that don't know
+/// their flows.
+#[test]
+fn requests_on_flows_of_a_dead_balancer_to_a_silent_target_are_reset_if_idempotent() {
+    let mut sim = Sim::new(2, 0);
+    let dead = TargetId(1);
+    let known = client_of(&mut sim, dead, IDEMPOTENT);
+    make_silent(&mut sim, known, IDEMPOTENT, dead);
+    let unknown = data(300, IDEMPOTENT, dead.cookie(), 50, 9);
+    assert_eq!(
+        sim.decide(unknown),
+        Decision::Reset(ResetReason::TargetSilent)
+    );
+    let unknown = data(301, NON_IDEMPOTENT, dead.cookie(), 50, 9);
+    assert_eq!(forwarded(sim.decide(unknown)).0, dead, "it may be running");
+}
+
 #[test]
 fn idle_flows_of_a_silent_target_are_reset_proactively() {
     let mut sim = Sim::new(2, 0);
