feat(cookie): a target that failed probes is probed by all balancers that use it

Change: a report of suspect targets names those that failed their probes; a balancer of the failure domain with flows to such a target probes it at once, and resets idle flows only if its own probe fails too. No target is probed twice within the probe interval, whatever asks for it. Older builds ignore the new field and send none.

--- a/crates/cookie/src/effects.rs
+++ b/crates/cookie/src/effects.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use crate::{FlowId, OverloadChange, ResetReason, TargetId};
+use crate::{FlowId, OverloadChange, ResetReason, SuspectReport, TargetId};
 
 /// Maximum number of resets returned at once; the rest follow with later calls.
 const MAX_RESETS_PER_BATCH: usize = 256;
@@ -47,8 +47,8 @@
 pub struct Effects {
     /// Targets that became suspect.
     pub suspicions: Vec<Suspicion>,
-    /// Targets to report to the other balancers of the failure domain.
-    pub reports: Vec<TargetId>,
+    /// What to report to the other balancers of the failure domain.
+    pub report: SuspectReport,
     /// Services that started or stopped refusing new flows.
     pub overloads: Vec<OverloadChange>,
     /// Probes to make.
@@ -61,7 +61,7 @@
     /// Whether there is nothing to do.
     pub fn is_empty(&self) -> bool {
         self.suspicions.is_empty()
-            && self.reports.is_empty()
+            && self.report.is_empty()
             && self.overloads.is_empty()
             && self.probes.is_empty()
             && self.resets.is_empty()
@@ -72,7 +72,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pending {
     pub suspicions: Vec<Suspicion>,
-    pub reports: Vec<TargetId>,
+    pub report: SuspectReport,
     pub overloads: Vec<OverloadChange>,
     pub probes: Vec<ProbeRequest>,
     pub resets: VecDeque<FlowReset>,
@@ -84,7 +84,7 @@
         let resets = self.resets.len().min(MAX_RESETS_PER_BATCH);
         Effects {
             suspicions: std::mem::take(&mut self.suspicions),
-            reports: std::mem::take(&mut self.reports),
+            report: std::mem::take(&mut self.report),
             overloads: std::mem::take(&mut self.overloads),
             probes: std::mem::take(&mut self.probes),
             resets: self.resets.drain(..resets).collect(),
--- a/crates/cookie/src/lib.rs
+++ b/crates/cookie/src/lib.rs
@@ -32,6 +32,7 @@
 pub use exchange::load_rotation::{LoadRotation, LoadRotationConfig};
 pub use liveness::evidence::{EvidenceConfig, ProbeOutcome};
 pub use liveness::health::{Health, HealthConfig};
+pub use liveness::reports::SuspectReport;
 pub use packets::decision::{Decision, DropReason, PlaceReason, ResetReason};
 pub use packets::flows::FlowTable;
 pub use packets::manifest::{Manifest, Route, ServiceLimits, Share};
--- a/crates/cookie/src/liveness/health.rs
+++ b/crates/cookie/src/liveness/health.rs
@@ -206,9 +206,13 @@
     }
 
     /// Requests a probe without evidence from packets, because other targets of
-    /// the same failure domain are silent. Returns whether to make one.
-    pub fn request_probe(&mut self, now: Duration) -> bool {
-        if self.liveness != Liveness::Responsive {
+    /// the same failure domain are silent or another balancer found this one silent.
+    /// Returns whether to make one: not if it was probed lately.
+    pub(crate) fn request_probe(&mut self, now: Duration, cfg: &HealthConfig) -> bool {
+        let recent = self
+            .last_probe
+            .is_some_and(|at| now < at + cfg.probe_interval);
+        if recent || self.liveness != Liveness::Responsive {
             return false;
         }
         self.liveness = Liveness::Suspect;
--- a/crates/cookie/src/liveness/reports.rs
+++ b/crates/cookie/src/liveness/reports.rs
@@ -4,7 +4,8 @@
 //! is then found by each of them separately, at the cost of a flow each. Balancers of
 //! a failure domain therefore report what they find to each other. A target is avoided
 //! once two balancers suspect it, this one included: a single one may itself be cut
-//! off.
+//! off. One that failed its probes at a single balancer is probed by those that have
+//! flows to it, so that idle flows to a dead target are reset before they are used.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use hashbrown::HashMap;
 use rand::RngExt;
 
+use crate::liveness::silence::probe_request;
 use crate::{Balancer, TargetId, TargetKey};
 
 /// Time for which a report counts.
@@ -32,6 +34,48 @@
 /// Maximum number of balancers remembered per target.
 const MAX_SOURCES: usize = 8;
 
+/// What a balancer finds wrong with targets.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct SuspectReport {
+    /// Targets that it suspects.
+    pub targets: Vec<TargetId>,
+    /// Those of `targets` that failed its probes. Missing in reports of older builds.
+    #[serde(default)]
+    pub silent: Vec<TargetId>,
+}
+
+impl SuspectReport {
+    /// Whether nothing is wrong.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Adds a target that failed its probes.
+    pub fn add_silent(&mut self, target: TargetId) {
+        self.targets.push(target);
+        self.silent.push(target);
+    }
+
+    /// Adds another report.
+    pub fn extend(&mut self, other: SuspectReport) {
+        self.targets.extend(other.targets);
+        self.silent.extend(other.silent);
+    }
+
+    /// Sorts the targets and keeps at most `max` of each kind, each one once. Those that
+    /// failed their probes go first.
+    pub fn normalize(&mut self, max: usize) {
+        self.silent.sort_unstable();
+        self.silent.dedup();
+        self.silent.truncate(max);
+        let silent = &self.silent;
+        self.targets
+            .sort_unstable_by_key(|id| (!silent.contains(id), *id));
+        self.targets.dedup();
+        self.targets.truncate(max);
+    }
+}
+
 /// A balancer that suspects a target.
 #[derive(Clone, Copy, Debug)]
 struct Source {
@@ -108,14 +152,17 @@
         &mut self,
         now: Duration,
         from: SocketAddr,
-        targets: &[TargetId],
+        report: &SuspectReport,
     ) -> Vec<TargetId> {
         let mut avoided = Vec::new();
-        for id in targets {
+        for id in &report.targets {
             let Some(key) = self.directory.key_of(*id) else {
                 continue;
             };
             self.reports.record(now, Some(from), *id);
+            if report.silent.contains(id) {
+                self.probe_reported(now, key);
+            }
             if self.avoid_if_confirmed(now, key) {
                 avoided.push(*id);
             }
@@ -123,6 +170,19 @@
         avoided
     }
 
+    /// Requests a probe of a target that failed those of another balancer and has flows
+    /// here. If it answers, nothing has changed.
+    fn probe_reported(&mut self, now: Duration, key: TargetKey) {
+        let Some(target) = self.directory.get_mut(key) else {
+            return;
+        };
+        let cfg = &self.cfg.health;
+        let in_use = target.load.flows > 0 && !target.is_gone();
+        if in_use && target.health.request_probe(now, cfg) {
+            self.pending.probes.push(probe_request(target, now));
+        }
+    }
+
     /// Records that a target seems to hang on a request, and reports it.
     pub(crate) fn report_hanging(&mut self, now: Duration, key: TargetKey) {
         let Some(target) = self.directory.get(key) else {
@@ -130,7 +190,7 @@
         };
         let id = target.entry.id;
         self.reports.record(now, None, id);
-        self.pending.reports.push(id);
+        self.pending.report.targets.push(id);
         self.avoid_if_confirmed(now, key);
     }
 
--- a/crates/cookie/src/liveness/silence.rs
+++ b/crates/cookie/src/liveness/silence.rs
@@ -38,6 +38,7 @@
         let domain = Arc::clone(&target.entry.domain);
         if silent {
             self.reset_flows_of(&[key], ResetReason::TargetSilent);
+            self.pending.report.add_silent(probe.target);
         }
         if silent || failed && self.is_own_domain_evacuated() {
             self.probe_domain(now, &domain);
@@ -66,7 +67,8 @@
             return;
         }
         for target in self.directory.iter_mut().filter(in_domain) {
-            if (evacuated || target.load.flows > 0) && target.health.request_probe(now) {
+            let in_use = evacuated || target.load.flows > 0;
+            if in_use && target.health.request_probe(now, &self.cfg.health) {
                 self.pending.probes.push(probe_request(target, now));
             }
         }
@@ -121,7 +123,7 @@
     }
 }
 
-fn probe_request(target: &Target, now: Duration) -> ProbeRequest {
+pub(crate) fn probe_request(target: &Target, now: Duration) -> ProbeRequest {
     ProbeRequest {
         target: target.entry.id,
         address: target.entry.address,
--- a/crates/cookie/src/placement/place_flow.rs
+++ b/crates/cookie/src/placement/place_flow.rs
@@ -91,7 +91,7 @@
         let suspected = target.health.should_avoid(now, &self.cfg.health);
         if target.health.suspicion_count() > before {
             self.reports.record(now, None, target.entry.id);
-            self.pending.reports.push(target.entry.id);
+            self.pending.report.targets.push(target.entry.id);
             self.pending.suspicions.push(Suspicion {
                 target: target.entry.id,
                 suspicion_count: target.health.suspicion_count(),
--- a/crates/cookie/tests/reports.rs
+++ b/crates/cookie/tests/reports.rs
@@ -5,8 +5,8 @@
 
 use std::net::SocketAddr;
 
-use common::{IDEMPOTENT, Sim, ack, data, forwarded, ms, syn};
-use sequoiatrail_cookie::{TargetChange, TargetId};
+use common::{IDEMPOTENT, NON_IDEMPOTENT, Sim, ack, data, flow, forwarded, ms, syn};
+use sequoiatrail_cookie::{SuspectReport, TargetChange, TargetId};
 
 const HANGING: TargetId = TargetId(1);
 
@@ -31,7 +31,18 @@
 }
 
 fn report(sim: &mut Sim, from: u8, targets: &[TargetId]) -> Vec<TargetId> {
-    sim.balancer.record_report(sim.now, peer(from), targets)
+    let report = SuspectReport {
+        targets: targets.to_vec(),
+        ..SuspectReport::default()
+    };
+    sim.balancer.record_report(sim.now, peer(from), &report)
+}
+
+/// A report that a target failed its probes.
+fn report_silent(sim: &mut Sim, target: TargetId) {
+    let mut report = SuspectReport::default();
+    report.add_silent(target);
+    sim.balancer.record_report(sim.now, peer(1), &report);
 }
 
 /// Number of new flows placed on a target.
@@ -52,6 +63,64 @@
     assert!(placed_on(&mut sim, HANGING, 200..240) > 0, "tried again");
 }
 
+/// Load: a target dies while each of many balancers has few flows to it, most of them idle.
+#[test]
+fn idle_flows_are_reset_after_the_report_of_another_balancer_and_an_own_probe() {
+    let mut sim = Sim::new(4, 0);
+    let idle = 1;
+    let target = sim.open(idle, NON_IDEMPOTENT);
+    sim.complete_request(idle, NON_IDEMPOTENT, target, 5);
+    sim.advance(ms(100));
+    report_silent(&mut sim, target);
+    let probes = sim.complete_probes(|_| false);
+    assert_eq!(probes.len(), 1);
+    let effects = sim.effects();
+    assert_eq!(effects.resets.len(), 1);
+    assert_eq!(effects.resets[0].flow, flow(idle, NON_IDEMPOTENT));
+    assert_eq!(
+        effects.report.silent,
+        [target],
+        "others have flows to it too"
+    );
+}
+
+#[test]
+fn a_reported_target_that_answers_keeps_its_flows_and_is_not_probed_by_each_report() {
+    let mut sim = Sim::new(4, 0);
+    let target = sim.open(1, NON_IDEMPOTENT);
+    report_silent(&mut sim, target);
+    assert_eq!(sim.complete_probes(|_| true).len(), 1);
+    sim.advance(ms(100));
+    report_silent(&mut sim, target);
+    let effects = sim.effects();
+    assert_eq!((effects.probes.len(), effects.resets.len()), (0, 0));
+}
+
+#[test]
+fn a_reported_target_without_flows_is_not_probed() {
+    let mut sim = Sim::new(4, 0);
+    report_silent(&mut sim, HANGING);
+    assert_eq!(sim.effects().probes, []);
+}
+
+#[test]
+fn a_target_that_is_only_suspect_elsewhere_is_not_probed() {
+    let mut sim = Sim::new(4, 0);
+    let target = sim.open(1, NON_IDEMPOTENT);
+    report(&mut sim, 1, &[target]);
+    assert_eq!(sim.effects().probes, []);
+}
+
+#[test]
+fn targets_that_failed_probes_go_first_in_a_report() {
+    let mut report = SuspectReport::default();
+    report.targets.extend([1, 5, 5, 3].map(TargetId));
+    report.add_silent(TargetId(4));
+    report.normalize(3);
+    assert_eq!(report.targets, [4, 1, 3].map(TargetId));
+    assert_eq!(report.silent, [TargetId(4)]);
+}
+
 #[test]
 fn a_target_tried_again_is_avoided_after_one_report_but_not_forever() {
     let mut sim = Sim::new(10, 0);
@@ -103,7 +172,7 @@
     sim.decide(data(client, IDEMPOTENT, HANGING.cookie(), 5, 9));
     sim.advance(ms(500));
     sim.decide(syn(300, IDEMPOTENT, 0));
-    assert_eq!(sim.effects().reports, [HANGING]);
+    assert_eq!(sim.effects().report.targets, [HANGING]);
     assert_eq!(report(&mut sim, 1, &[HANGING]), [HANGING]);
     assert_eq!(placed_on(&mut sim, HANGING, 400..440), 0);
 }
@@ -121,7 +190,7 @@
     sim.decide(data(20, IDEMPOTENT, target.cookie(), 5, 9));
     sim.advance(ms(500));
     sim.decide(syn(21, IDEMPOTENT, 0));
-    assert_eq!(sim.effects().reports, []);
+    assert_eq!(sim.effects().report.targets, []);
 }
 
 /// Opens a flow with one request at each balancer in turn and returns how many of the
@@ -144,7 +213,7 @@
         } else {
             complete(sim, client, target);
         }
-        let reports = sim.effects().reports;
+        let reports = sim.effects().report.targets;
         for (n, other) in sims.iter_mut().enumerate() {
             other.now = ms(200_000 + 10 * u64::from(client - 1_000));
             if exchange && n != number && !reports.is_empty() {
--- a/crates/daemon/src/cookie/egress.rs
+++ b/crates/daemon/src/cookie/egress.rs
@@ -7,7 +7,7 @@
 
 use sequoiatrail_adapter::encode_reset;
 use sequoiatrail_cookie::{
-    Effects, FlowId, PlaceReason, PriorityDemand, ResetReason, Suspicion, TargetId,
+    Effects, FlowId, PlaceReason, PriorityDemand, ResetReason, SuspectReport, Suspicion, TargetId,
 };
 use sequoiatrail_events::Event;
 
@@ -20,7 +20,7 @@
     shared: Arc<Shared>,
     socket: Arc<UdpSocket>,
     prober: Prober,
-    reports: Sender<Vec<TargetId>>,
+    reports: Sender<SuspectReport>,
     /// Client port that resets are sent to.
     caller_port: u16,
     counters: Arc<Counters>,
@@ -31,7 +31,7 @@
         shared: Arc<Shared>,
         socket: Arc<UdpSocket>,
         prober: Prober,
-        reports: Sender<Vec<TargetId>>,
+        reports: Sender<SuspectReport>,
         caller_port: u16,
     ) -> Egress {
         Egress {
@@ -52,9 +52,9 @@
         for suspicion in &effects.suspicions {
             self.log_suspicion(suspicion);
         }
-        if !effects.reports.is_empty() {
-            // Nobody receives them if no peers are configured.
-            let _ = self.reports.send(effects.reports);
+        if !effects.report.is_empty() {
+            // Nobody receives it if no peers are configured.
+            let _ = self.reports.send(effects.report);
         }
         for change in &effects.overloads {
             self.shared.log.emit(Event::ServiceOverloaded {
--- a/crates/daemon/src/cookie/peers/reports.rs
+++ b/crates/daemon/src/cookie/peers/reports.rs
@@ -9,7 +9,7 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 
-use sequoiatrail_cookie::TargetId;
+use sequoiatrail_cookie::SuspectReport;
 use sequoiatrail_events::Event;
 use serde::{Deserialize, Serialize};
 
@@ -24,8 +24,8 @@
 const CONTEXT: &[u8] = b"reports";
 /// Time over which reports are collected into one datagram.
 const BATCH_TIME: Duration = Duration::from_millis(50);
-/// Maximum number of targets per datagram; the rest is left out.
-const MAX_TARGETS: usize = 48;
+/// Maximum number of targets of each kind per datagram; the rest is left out.
+const MAX_TARGETS: usize = 24;
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Longest wait of a thread, so that it notices a shutdown. A stop waits for as long.
@@ -37,7 +37,8 @@
     /// Address of the sender's peer API.
     from: SocketAddr,
     /// The targets.
-    targets: Vec<TargetId>,
+    #[serde(flatten)]
+    report: SuspectReport,
 }
 
 /// Sends reports to the peers of the failure domain.
@@ -53,27 +54,25 @@
 
 impl ReportSender {
     /// Sends queued reports until the balancer shuts down.
-    pub fn run(self, queued: Receiver<Vec<TargetId>>) {
+    pub fn run(self, queued: Receiver<SuspectReport>) {
         let counters = self.shared.counters.for_thread();
         while !self.shared.is_shut_down() {
-            let mut targets = match queued.recv_timeout(MAX_WAIT) {
-                Ok(targets) => targets,
+            let mut report = match queued.recv_timeout(MAX_WAIT) {
+                Ok(report) => report,
                 Err(RecvTimeoutError::Timeout) => continue,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
             std::thread::sleep(BATCH_TIME);
-            targets.extend(queued.try_iter().flatten());
-            targets.sort_unstable();
-            targets.dedup();
-            targets.truncate(MAX_TARGETS);
-            self.send(&counters, targets);
+            queued.try_iter().for_each(|more| report.extend(more));
+            report.normalize(MAX_TARGETS);
+            self.send(&counters, report);
         }
     }
 
-    fn send(&self, counters: &Counters, targets: Vec<TargetId>) {
+    fn send(&self, counters: &Counters, report: SuspectReport) {
         let report = Report {
             from: self.own,
-            targets,
+            report,
         };
         let datagram = match seal(self.peers.key.as_ref(), CONTEXT, &report) {
             Ok(datagram) => datagram,
@@ -128,7 +127,7 @@
     let now = shared.clock.now();
     let avoided = shared
         .lock()
-        .record_report(now, report.from, &report.targets);
+        .record_report(now, report.from, &report.report);
     for target in avoided {
         shared.log.emit(Event::TargetReported {
             target: target.to_string(),
--- a/crates/daemon/src/cookie/start.rs
+++ b/crates/daemon/src/cookie/start.rs
@@ -9,7 +9,7 @@
 
 use sequoiatrail_adapter::Kind;
 use sequoiatrail_cookie::{
-    Balancer, Config, OverloadConfig, PeerInfo, Peers, PeersConfig, TargetId, WarmupConfig,
+    Balancer, Config, OverloadConfig, PeerInfo, Peers, PeersConfig, SuspectReport, WarmupConfig,
 };
 use sequoiatrail_events::{Event, Log};
 use sequoiatrail_settings::Settings;
@@ -117,7 +117,7 @@
         Ok(())
     }
 
-    fn start_peers(&mut self, settings: &Settings, reports: Receiver<Vec<TargetId>>) -> Result<()> {
+    fn start_peers(&mut self, settings: &Settings, reports: Receiver<SuspectReport>) -> Result<()> {
         let Some(listen) = settings.cookie.peers_listen else {
             return Ok(());
         };
@@ -154,7 +154,7 @@
         settings: &Settings,
         shared_peers: &Arc<SharedPeers>,
         own: SocketAddr,
-        queued: Receiver<Vec<TargetId>>,
+        queued: Receiver<SuspectReport>,
     ) -> Result<()> {
         let port = settings.cookie.reports_port;
         let socket = peers::open_socket(own, port).or_else(|e| {
