revert: probes time out by the measured time of handshakes

Traced: at 7.19 s frontend-alm-auezov-17 probed 33 live targets and none of its connections was answered within 63 ms. It was loading a manifest through its link of 10 Mbit/s; the answers waited behind it. Handshakes of flows don't show that, since the answers of targets don't pass this VM. Conclusion: two connections of 120 ms stay.

--- a/crates/cookie/src/balancer.rs
+++ b/crates/cookie/src/balancer.rs
@@ -15,7 +15,6 @@
 use crate::exchange::load_exchange::OwnLoad;
 use crate::liveness::attempts::RecentAttempts;
 use crate::liveness::evidence::Evidence;
-use crate::liveness::handshakes::Handshakes;
 use crate::liveness::reports::Reports;
 use crate::liveness::silence::probe_if_suspect;
 use crate::packets::routes::ManifestOutcome;
@@ -53,7 +52,6 @@
     pub(crate) paces: Paces,
     pub(crate) reports: Reports,
     pub(crate) evidence: Evidence,
-    pub(crate) handshakes: Handshakes,
     pub(crate) domain_load: DomainLoad,
     /// Load through the balancers of the other failure domains.
     pub(crate) remote_load: DomainLoad,
@@ -84,7 +82,6 @@
             paces: Paces::default(),
             reports: Reports::default(),
             evidence: Evidence::default(),
-            handshakes: Handshakes::default(),
             domain_load: DomainLoad::default(),
             remote_load: DomainLoad::default(),
             own_load: OwnLoad::new(FixedState::with_seed(PROCESS_SEED).hash_one(seed) as u32),
@@ -322,7 +319,6 @@
 
     /// Returns the effects since the last call; carry them out.
     pub fn take_effects(&mut self) -> Effects {
-        let probe_timeout = self.handshakes.probe_timeout(&self.cfg.health);
-        self.pending.take(probe_timeout)
+        self.pending.take()
     }
 }
--- a/crates/cookie/src/effects.rs
+++ b/crates/cookie/src/effects.rs
@@ -53,8 +53,6 @@
     pub overloads: Vec<OverloadChange>,
     /// Probes to make.
     pub probes: Vec<ProbeRequest>,
-    /// Timeout of one connection of these probes.
-    pub probe_timeout: Duration,
     /// Flows to reset.
     pub resets: Vec<FlowReset>,
 }
@@ -82,14 +80,13 @@
 
 impl Pending {
     /// Takes the pending effects, with at most [`MAX_RESETS_PER_BATCH`] resets.
-    pub fn take(&mut self, probe_timeout: Duration) -> Effects {
+    pub fn take(&mut self) -> Effects {
         let resets = self.resets.len().min(MAX_RESETS_PER_BATCH);
         Effects {
             suspicions: std::mem::take(&mut self.suspicions),
             report: std::mem::take(&mut self.report),
             overloads: std::mem::take(&mut self.overloads),
             probes: std::mem::take(&mut self.probes),
-            probe_timeout,
             resets: self.resets.drain(..resets).collect(),
         }
     }
--- a/crates/cookie/src/liveness.rs
+++ b/crates/cookie/src/liveness.rs
@@ -6,7 +6,6 @@
 
 pub(crate) mod attempts;
 pub(crate) mod evidence;
-pub(crate) mod handshakes;
 pub(crate) mod health;
 pub(crate) mod observe;
 pub(crate) mod reports;
--- a/crates/cookie/src/liveness/health.rs
+++ b/crates/cookie/src/liveness/health.rs
@@ -35,12 +35,6 @@
     pub probe_interval: Duration,
     /// Upper limit of this interval.
     pub max_probe_interval: Duration,
-    /// Timeout of one connection of a probe, in handshakes of the longest recent time.
-    pub probe_timeout_handshakes: u32,
-    /// Least timeout of one connection of a probe.
-    pub min_probe_timeout: Duration,
-    /// Greatest timeout, also while handshakes are unknown.
-    pub max_probe_timeout: Duration,
     /// Time without any response after which flows with retransmissions are reset even
     /// if probes succeed: another process may have taken over the target's address.
     /// Longer than the slowest request behind a full queue of a cold target.
@@ -59,9 +53,6 @@
             evidence_ttl: Duration::from_secs(2),
             probe_interval: Duration::from_millis(500),
             max_probe_interval: Duration::from_secs(2),
-            probe_timeout_handshakes: 4,
-            min_probe_timeout: Duration::from_millis(30),
-            max_probe_timeout: Duration::from_millis(120),
             silence_timeout: Duration::from_millis(1_200),
             silence_retransmits: 4,
         }
--- a/crates/cookie/src/liveness/observe.rs
+++ b/crates/cookie/src/liveness/observe.rs
@@ -84,7 +84,6 @@
             let time = now.saturating_sub(flow.sent_at);
             let service = &target.entry.service;
             self.overload.record_handshake(now, service, time);
-            self.handshakes.record(time);
         }
         if flow.busy {
             let rates = &mut self.own_load.rates;
--- a/crates/cookie/src/liveness/silence.rs
+++ b/crates/cookie/src/liveness/silence.rs
@@ -81,7 +81,6 @@
         self.drop_syns_until = now + PAUSE_BACKLOG;
         self.overload.reset();
         self.evidence.reset();
-        self.handshakes.reset();
         for target in self.directory.iter_mut() {
             target.health.discard_evidence(now);
         }
--- a/crates/daemon/src/cookie/egress.rs
+++ b/crates/daemon/src/cookie/egress.rs
@@ -74,7 +74,7 @@
             self.counters.add(Count::Reset, 1);
             self.reset(now, &reset.flow, reset.acked, reset.reason);
         }
-        self.prober.submit(effects.probes, effects.probe_timeout);
+        self.prober.submit(effects.probes);
     }
 
     /// Sends a reset to the client of a flow.
--- a/crates/daemon/src/cookie/prober.rs
+++ b/crates/daemon/src/cookie/prober.rs
@@ -12,6 +12,9 @@
 use super::shared::Shared;
 use crate::probe::{ProbeFailure, ProbeJob, ProbeQueue, ProbeResult, run};
 
+/// Timeout of one connection to a target: many round trips, and longer than a
+/// throttled VM stalls.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Consecutive failed connections after which a probe has failed.
 const MAX_ATTEMPTS: u32 = 2;
 
@@ -19,7 +22,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Attempt {
     request: ProbeRequest,
-    timeout: Duration,
     number: u32,
 }
 
@@ -46,18 +48,13 @@
         let shared = Arc::clone(&self.shared);
         let is_stopped = move || shared.is_shut_down();
         let report = move |attempt, result| self.handle_result(&egress, attempt, result);
-        let timeout_of = |attempt: &Attempt| attempt.timeout;
-        run(Probe::Tcp, timeout_of, queued, is_stopped, report)
+        run(Probe::Tcp, CONNECT_TIMEOUT, queued, is_stopped, report)
     }
 
-    /// Queues probes with a timeout for each connection; does not block.
-    pub fn submit(&self, requests: Vec<ProbeRequest>, timeout: Duration) {
+    /// Queues probes; does not block.
+    pub fn submit(&self, requests: Vec<ProbeRequest>) {
         for request in requests {
-            self.enqueue(Attempt {
-                request,
-                timeout,
-                number: 1,
-            });
+            self.enqueue(Attempt { request, number: 1 });
         }
     }
 
--- a/crates/daemon/src/daemon/start.rs
+++ b/crates/daemon/src/daemon/start.rs
@@ -238,7 +238,7 @@
         };
         self.spawn("probe".into(), move || {
             // The queue is closed when the control thread ends.
-            probe::run(cfg.probe, |_| timeout, queued, || false, report)
+            probe::run(cfg.probe, timeout, queued, || false, report)
         })?;
         Ok(Some(probe_queue))
     }
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -56,10 +56,10 @@
 pub(crate) type ProbeResult = Result<Option<u16>, ProbeFailure>;
 
 /// Runs probes until the queue is closed or `is_stopped` returns true; calls `report`
-/// with each outcome. `timeout_of` tells how long the probe of a key may take.
+/// with each outcome.
 pub(crate) fn run<K, F>(
     kind: Probe,
-    timeout_of: impl Fn(&K) -> Duration,
+    probe_timeout: Duration,
     mut jobs: UnboundedReceiver<ProbeJob<K>>,
     is_stopped: impl Fn() -> bool,
     report: F,
@@ -81,7 +81,6 @@
                 return;
             };
             let report = report.clone();
-            let probe_timeout = timeout_of(&job.key);
             tokio::spawn(async move {
                 let outcome = probe(kind, job.address, probe_timeout).await;
                 report(job.key, outcome);
