feat(platform): one follower tries for all while the store turns this VM away

While the store turned 31 balancers away for 9 s each of three followers per balancer went on trying, once a second or less often. Change: a breaker lets the first of the failing followers try, every 2 s at most; once it succeeds the others call at once, and none waits for another for more than 5 s. Peers feed the balancer meanwhile, as before.

--- a/crates/daemon/src/cookie/follower.rs
+++ b/crates/daemon/src/cookie/follower.rs
@@ -29,7 +29,7 @@
 /// Backoff after failures; the store's rate limits allow this for all balancers.
 const BACKOFF: BackoffConfig = BackoffConfig {
     initial_delay: Duration::from_millis(300),
-    max_delay: Duration::from_millis(1_000),
+    max_delay: Duration::from_millis(2_000),
 };
 /// The same for evacuations, which are rare, and which peers tell while the store is away.
 const EVACUATIONS_BACKOFF: BackoffConfig = BackoffConfig {
@@ -107,7 +107,11 @@
             // The store may have failed unnoticed during a pause.
             self.last_failure = Some(self.shared.clock.now());
         }
-        let step = self.follow.next(self.shared.clock.now());
+        let now = self.shared.clock.now();
+        let step = match self.shared.store_breaker().allows(now, self.kind.name()) {
+            true => self.follow.next(now),
+            false => Step::Wait(MAX_SLEEP),
+        };
         let result = match step {
             Step::Wait(wait) => {
                 thread::sleep(wait.min(MAX_SLEEP));
@@ -254,6 +258,7 @@
             self.shared.confirm_targets(self.shared.clock.now());
         }
         if let Some(since) = self.unreachable_since.take() {
+            self.shared.store_breaker().record_success(self.kind.name());
             self.shared.mark_store_recovered();
             let now = self.shared.clock.now();
             self.shared.log.emit(Event::StoreBack {
@@ -270,6 +275,9 @@
         self.last_failure = Some(now);
         if matches!(error, Error::HistoryExpired | Error::Outdated) {
             self.list_stale = false;
+        } else {
+            let kind = self.kind.name();
+            self.shared.store_breaker().record_failure(now, kind);
         }
         self.follow.failed(now, error);
         if self.unreachable_since.is_none() {
--- a/crates/daemon/src/cookie/shared.rs
+++ b/crates/daemon/src/cookie/shared.rs
@@ -8,7 +8,7 @@
 use opentelemetry::metrics::Histogram;
 use sequoiatrail_cookie::{Balancer, EraOrder, EraTracker};
 use sequoiatrail_events::{Event, Log, RateLimit};
-use sequoiatrail_platform::{Client, ClientConfig};
+use sequoiatrail_platform::{Breaker, Client, ClientConfig};
 use sequoiatrail_settings::PlatformSettings;
 use sequoiatrail_types::{Clock, Era};
 
@@ -65,6 +65,7 @@
     pub log_limits: LogLimits,
     /// The store client; replaced when the settings change.
     store: Mutex<Arc<Client>>,
+    breaker: Mutex<Breaker>,
     era: Mutex<EraTracker>,
     /// Packet handling times; set once metrics are started.
     pub handling: OnceLock<Histogram<f64>>,
@@ -99,6 +100,7 @@
         Shared {
             balancer: Mutex::new(balancer),
             store: Mutex::new(store),
+            breaker: Mutex::default(),
             era: Mutex::default(),
             started: clock.now(),
             unreachable_followers: AtomicU32::new(0),
@@ -127,12 +129,18 @@
         Arc::clone(&store)
     }
 
+    /// Decides which follower tries a store that fails several of them.
+    pub fn store_breaker(&self) -> MutexGuard<'_, Breaker> {
+        self.breaker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Switches to another store from the next call on. Revisions of two stores can't
     /// be compared, so the next list is applied whatever its revision.
     pub fn set_store(&self, settings: &PlatformSettings) {
         let mut store = self.store.lock().unwrap_or_else(PoisonError::into_inner);
         *store = client(&self.clock, settings.endpoint);
         drop(store);
+        self.store_breaker().reset();
         self.lock_era().forget();
         self.lock().forget_revision();
         self.request_relist();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 //! serves the same API from memory and injects faults.
 
 mod backoff;
+mod breaker;
 mod client;
 mod client_config;
 mod edit;
@@ -25,6 +26,7 @@
 mod token_bucket;
 
 pub use backoff::{Backoff, BackoffConfig};
+pub use breaker::{Breaker, BreakerConfig};
 pub use client::Client;
 pub use client_config::ClientConfig;
 pub use edit::{Edit, EditConfig, EditOutcome, EditRefusal};
