--- a/crates/soak/src/balancers.rs
+++ b/crates/soak/src/balancers.rs
@@ -20,7 +20,8 @@
 
 /// A balancer process; a restart keeps its addresses.
 pub(crate) struct Balancer {
-    program: PathBuf,
+    /// Started by the next [`Balancer::spawn`].
+    pub program: PathBuf,
     file: PathBuf,
     log: PathBuf,
     pub packets: SocketAddr,
@@ -70,7 +71,7 @@
              [platform]\nendpoint = \"{}\"\n\
              [cookie]\nfailure_domain = \"a\"\nhttp_listen = \"{}\"\n\
              readiness_path = \"/sequoiatrail/readiness\"\ncaller_port = {caller_port}\n\
-             peers_listen = \"{}\"\n\
+             peers_listen = \"{}\"\nload_exchange = true\n\
              watch_wait_ms = 1000\nstop_grace_s = 4.0\nevacuations = true\n\
              [peers]\nkey = \"{PEER_KEY}\"\nseeds = [{}]\n[log]\nformat = \"json\"\n",
             self.packets,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -12,6 +12,7 @@
 mod run;
 mod schedule;
 mod targets;
+mod upgrade;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -67,6 +68,12 @@
         "balancer executable (next to this program)",
         "FILE",
     );
+    opts.optopt(
+        "",
+        "old-binary",
+        "older balancer executable, which all start with and which is replaced, forth and halfway back",
+        "FILE",
+    );
     opts.optflag("h", "help", "print this help");
     opts
 }
@@ -86,6 +93,7 @@
         faults_for: Duration::from_secs(number("seconds", 15)?),
         balancers: number("balancers", 4)? as usize,
         program: program(matches),
+        old_program: matches.opt_str("old-binary").map(PathBuf::from),
     };
     let mut failed = 0;
     for seed in first_seed..first_seed + seeds {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! The run of one seed, from starting the processes to the final checks.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -16,6 +16,7 @@
 use crate::error::{Error, FileSnafu, Result, SocketSnafu};
 use crate::schedule::{Action, Link, Step, has_evacuations, is_planned, steps};
 use crate::targets::{EVACUATED_DOMAIN, Targets};
+use crate::upgrade::{Build, add_upgrades};
 
 /// Number of client threads.
 const CLIENTS: u64 = 12;
@@ -34,6 +35,18 @@
     pub faults_for: Duration,
     pub balancers: usize,
     pub program: PathBuf,
+    /// An older build, which is replaced by `program` during the run.
+    pub old_program: Option<PathBuf>,
+}
+
+impl Settings {
+    /// The program of a build.
+    fn program_of(&self, build: Build) -> &Path {
+        match build {
+            Build::Current => &self.program,
+            Build::Old => self.old_program.as_ref().unwrap_or(&self.program),
+        }
+    }
 }
 
 /// Results of a run.
@@ -88,8 +101,11 @@
         }
         run.wait_ready(&router, &logs)?;
         let threads = start(CLIENTS, seed, &clients, &results);
-        let steps = steps(seed, settings.balancers, settings.faults_for);
-        run.execute_steps(&steps)?;
+        let mut steps = steps(seed, settings.balancers, settings.faults_for);
+        if settings.old_program.is_some() {
+            add_upgrades(settings.balancers, settings.faults_for, &mut steps);
+        }
+        run.execute_steps(settings, &steps)?;
         run.recover(&results)?;
         results.stop();
         for thread in threads {
@@ -117,7 +133,7 @@
 
     fn start(
         settings: &Settings,
-        logs: &std::path::Path,
+        logs: &Path,
         clients: &Clients,
         results: &Arc<Results>,
         targets: impl Fn(&Store) -> Result<Targets>,
@@ -132,7 +148,8 @@
         let balancers: Result<Vec<Balancer>> = numbers
             .map(|n| {
                 let (store, port) = (store.addr(), clients.port());
-                Balancer::start(n, &settings.program, logs, store, port, &mut ports, &peers)
+                let program = settings.program_of(Build::Old);
+                Balancer::start(n, program, logs, store, port, &mut ports, &peers)
             })
             .collect();
         Ok(Run {
@@ -147,7 +164,7 @@
         })
     }
 
-    fn wait_ready(&self, router: &Router, logs: &std::path::Path) -> Result<()> {
+    fn wait_ready(&self, router: &Router, logs: &Path) -> Result<()> {
         let started = Instant::now();
         let all = self.balancers.len();
         while router.in_rotation() < all {
@@ -161,22 +178,26 @@
         Ok(())
     }
 
-    fn execute_steps(&mut self, steps: &[Step]) -> Result<()> {
+    fn execute_steps(&mut self, settings: &Settings, steps: &[Step]) -> Result<()> {
         let started = Instant::now();
         for step in steps {
             while started.elapsed() < step.at {
                 self.tick()?;
             }
-            self.apply(step.action)?;
+            self.apply(settings, step.action)?;
         }
         Ok(())
     }
 
-    fn apply(&mut self, action: Action) -> Result<()> {
+    fn apply(&mut self, settings: &Settings, action: Action) -> Result<()> {
         let until = |time: Duration| Instant::now() + time;
         self.pick += 7;
         match action {
             Action::Restart(n) => self.terminate(n, Signal::SIGTERM),
+            Action::Replace(n, build) => {
+                self.balancers[n].program = settings.program_of(build).to_owned();
+                self.terminate(n, Signal::SIGTERM);
+            }
             Action::Kill(n) => self.terminate(n, Signal::SIGKILL),
             Action::Pause(n, time) => {
                 self.balancers[n].signal(Signal::SIGSTOP);
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -6,6 +6,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::upgrade::Build;
+
 /// Range of the pause between two steps, in milliseconds; faults can last longer,
 /// so they overlap.
 const PAUSE_MS: std::ops::Range<u64> = 50..900;
@@ -49,6 +51,8 @@
 pub(crate) enum Action {
     /// A balancer is stopped gracefully and started again.
     Restart(usize),
+    /// A balancer is stopped gracefully and started again with this build.
+    Replace(usize, Build),
     /// A balancer is killed and started again.
     Kill(usize),
     /// A balancer is paused with SIGSTOP.
