refactor: deciders of admission named by what they decide by; two circles of files ended

overload/admission.rs is budget.rs (Budget), overload/service.rs is in_flight_limit.rs (InFlightLimit); the page of the folder names file and decider. The queue of probes is a file of its own below egress and prober, the settings of the decisions one below reload and start.

--- a/crates/cookie/src/admission.rs
+++ b/crates/cookie/src/admission.rs
@@ -2,8 +2,9 @@
 //!
 //! Load: more requests than the targets of a service can process, for a moment or for
 //! long. Three deciders, by what is known: a budget of requests where flows stay open
-//! ([`overload`], `admission`), the room at all targets where the load of all balancers
-//! is known (`room`), and a limit on the own requests in flight otherwise (`service`).
+//! (`overload/budget.rs`), the room at all targets where the load of all balancers is known
+//! (`overload/room.rs`), and a limit on the own requests in flight otherwise
+//! (`overload/in_flight_limit.rs`). `admit_flow.rs` gathers what they decide from.
 
 pub(crate) mod admit_flow;
 pub(crate) mod overload;
--- a/crates/cookie/src/admission/overload.rs
+++ b/crates/cookie/src/admission/overload.rs
@@ -4,21 +4,22 @@
 //! Without it queues fill, every response is late, and retries add to the load. One of
 //! three decides:
 //!
-//! - [`admission`], a budget from demand against capacity, if the routes of the service
-//!   differ in priority and enough requests are on flows that had one before;
+//! - [`budget`], requests per second from demand against capacity, if the routes of the
+//!   service differ in priority and enough requests are on flows that had one before;
 //! - else [`room`], from the requests at all targets, if the load of all balancers is
 //!   known, and for some seconds already: until then a share of the demand is a guess, and
 //!   a wrong one refuses what would be served late;
-//! - else [`service`], a limit on the requests in flight through this balancer. The
-//!   service is overloaded while the median latency stays above what the latency goal
+//! - else [`in_flight_limit`], on the requests through this balancer. The service is
+//!   overloaded while the median latency stays above what the latency goal
 //!   allows for several intervals (a standing queue, as in CoDel). Each slow interval
 //!   lowers the limit in proportion, every other one raises it by a constant (AIMD), so
 //!   that balancers that share the targets reach similar limits without telling each
 //!   other.
 
-mod admission;
+mod budget;
 mod client_rank;
 mod demand;
+mod in_flight_limit;
 mod latency;
 mod link;
 mod priorities;
@@ -26,7 +27,6 @@
 mod priority_shares;
 mod queueing;
 mod room;
-mod service;
 mod service_time;
 
 use std::collections::BTreeMap;
@@ -36,12 +36,12 @@
 
 use hashbrown::{HashMap, HashSet};
 
-use admission::Admission;
+use budget::Budget;
+use in_flight_limit::InFlightLimit;
 pub(crate) use latency::ResponseSample;
 use link::LinkUse;
 use room::Backlog;
 pub(crate) use room::{FULL_PER_SLOT, Room};
-use service::ServiceLoad;
 
 use crate::{Manifest, OverloadConfig, PriorityDemand, Route};
 
@@ -120,13 +120,13 @@
 /// Load of all services.
 #[derive(Debug, Default)]
 pub(crate) struct Overload {
-    services: HashMap<Arc<str>, ServiceLoad>,
+    limits: HashMap<Arc<str>, InFlightLimit>,
     /// Services whose routes with a latency goal differ in priority.
     by_priority: HashSet<Arc<str>>,
     /// Shortest latency goal of the routes of each service.
     goals: HashMap<Arc<str>, Duration>,
     backlogs: HashMap<Arc<str>, Backlog>,
-    admissions: HashMap<Arc<str>, Admission>,
+    budgets: HashMap<Arc<str>, Budget>,
     /// Time since the Unix epoch minus the monotonic time.
     wall_offset: Duration,
     link: LinkUse,
@@ -151,7 +151,7 @@
         }
         let differ = priorities.into_iter().filter(|(_, used)| used.len() > 1);
         self.by_priority = differ.map(|(service, _)| Arc::clone(service)).collect();
-        self.admissions.retain(|s, _| goals.contains_key(s));
+        self.budgets.retain(|s, _| goals.contains_key(s));
         self.backlogs.retain(|s, _| goals.contains_key(s));
         self.goals = goals;
     }
@@ -165,30 +165,30 @@
         cfg.by_priority && self.by_priority.contains(service)
     }
 
-    fn admission(&mut self, service: &Arc<str>) -> Option<&mut Admission> {
+    fn budget_mut(&mut self, service: &Arc<str>) -> Option<&mut Budget> {
         if !self.goals.contains_key(service) {
             return None;
         }
-        Some(self.admissions.entry(Arc::clone(service)).or_default())
+        Some(self.budgets.entry(Arc::clone(service)).or_default())
     }
 
     /// Whether a budget decides on the new flows of a service instead of the limit.
     pub fn decides_by_budget(&self, cfg: &OverloadConfig, service: &str) -> bool {
-        let admission = self.admissions.get(service);
-        self.uses_priorities(cfg, service) && admission.is_some_and(|a| a.has_lasting_flows(cfg))
+        let budget = self.budgets.get(service);
+        self.uses_priorities(cfg, service) && budget.is_some_and(|b| b.has_lasting_flows(cfg))
     }
 
     /// Records the time from a SYN to the client's next packet.
     pub fn record_handshake(&mut self, now: Duration, service: &Arc<str>, time: Duration) {
-        if let Some(admission) = self.admission(service) {
-            admission.record_handshake(now, time);
+        if let Some(budget) = self.budget_mut(service) {
+            budget.record_handshake(now, time);
         }
     }
 
     /// Counts a response, also one whose latency says nothing.
     pub fn record_answer(&mut self, service: &Arc<str>) {
-        if let Some(admission) = self.admission(service) {
-            admission.record_answer();
+        if let Some(budget) = self.budget_mut(service) {
+            budget.record_answer();
         }
     }
 
@@ -201,8 +201,8 @@
         age: Option<Duration>,
     ) {
         self.link.record_request();
-        if let (Some(age), Some(admission)) = (age, self.admission(service)) {
-            admission.record_later_request(route.priority, age < cfg.epoch);
+        if let (Some(age), Some(budget)) = (age, self.budget_mut(service)) {
+            budget.record_later_request(route.priority, age < cfg.epoch);
         }
     }
 
@@ -219,8 +219,8 @@
 
     /// Whether [`Overload::update`] is due before a new flow of the service.
     pub fn is_due(&self, cfg: &OverloadConfig, now: Duration, service: &str) -> bool {
-        let admission = self.admissions.get(service);
-        self.goals.contains_key(service) && admission.is_none_or(|a| a.is_due(cfg, now))
+        let budget = self.budgets.get(service);
+        self.goals.contains_key(service) && budget.is_none_or(|b| b.is_due(cfg, now))
     }
 
     /// Ends an interval of a service whose routes differ in priority.
@@ -231,8 +231,8 @@
         service: &Arc<str>,
         capacity: Capacity,
     ) {
-        let mut admissions = self.admissions.values();
-        let overloaded = admissions.any(|a| a.budget_at(now).is_some());
+        let mut budgets = self.budgets.values();
+        let overloaded = budgets.any(|b| b.budget_at(now).is_some());
         self.link.update(now, cfg.interval, overloaded);
         let link_per_s = cfg
             .link_bytes_per_s
@@ -242,8 +242,8 @@
             ..capacity
         };
         let wall = now + self.wall_offset;
-        if let Some(admission) = self.admission(service) {
-            admission.update(cfg, now, wall, capacity);
+        if let Some(budget) = self.budget_mut(service) {
+            budget.update(cfg, now, wall, capacity);
         }
     }
 
@@ -255,14 +255,14 @@
         service: &Arc<str>,
         sample: ResponseSample,
     ) {
-        let load = self.services.entry(Arc::clone(service)).or_default();
+        let load = self.limits.entry(Arc::clone(service)).or_default();
         load.record(cfg, now, sample);
         if sample.found_free {
             let backlog = self.backlogs.entry(Arc::clone(service)).or_default();
             backlog.record(sample.latency);
         }
-        if let Some(admission) = self.admission(service) {
-            admission.record_response(cfg, now, sample);
+        if let Some(budget) = self.budget_mut(service) {
+            budget.record_response(cfg, now, sample);
         }
     }
 
@@ -275,11 +275,11 @@
         flow: NewFlow,
     ) -> bool {
         let by_budget = match self.decides_by_budget(cfg, service) {
-            true => self.admission(service).map(|a| a.admits(cfg, flow)),
+            true => self.budget_mut(service).map(|b| b.admits(cfg, flow)),
             false => None,
         };
         let decided = by_budget.or_else(|| self.admits_by_room(cfg, now, service, flow));
-        let load = self.services.get_mut(service);
+        let load = self.limits.get_mut(service);
         let admitted = match (decided, load) {
             (Some(admitted), Some(load)) => load.record_decision(flow.in_flight, admitted),
             (Some(admitted), None) => admitted,
@@ -287,9 +287,9 @@
             (None, None) => true,
         };
         if by_budget.is_none()
-            && let Some(admission) = self.admission(service)
+            && let Some(budget) = self.budget_mut(service)
         {
-            admission.record_attempt(flow.priority, admitted);
+            budget.record_attempt(flow.priority, admitted);
         }
         admitted
     }
@@ -304,9 +304,9 @@
     ) -> Option<bool> {
         let room = flow.room?;
         let goal = self.goals.get(service)?.mul_f64(cfg.goal_fraction);
-        let admission = self.admissions.get(service);
-        let path = admission.and_then(Admission::path);
-        let load = self.services.get(service);
+        let budget = self.budgets.get(service);
+        let path = budget.and_then(Budget::path);
+        let load = self.limits.get(service);
         let urgent_factor = match load.is_some_and(|load| load.is_urgent(flow.priority)) {
             true => cfg.urgent_factor,
             false => 1.0,
@@ -322,7 +322,7 @@
 
     /// Limit on a service's requests in flight; `None` if it is not overloaded.
     pub fn limit(&self, now: Duration, service: &str) -> Option<u32> {
-        self.services.get(service)?.limit_at(now)
+        self.limits.get(service)?.limit_at(now)
     }
 
     /// Whether the service is overloaded, by the limit or the budget.
@@ -333,28 +333,28 @@
     /// Requests per second that may be sent to the targets of a service; `None` while
     /// all fit.
     pub fn budget(&self, now: Duration, service: &str) -> Option<f64> {
-        self.admissions.get(service)?.budget_at(now)
+        self.budgets.get(service)?.budget_at(now)
     }
 
     /// Whether a request with this latency goal that is unanswered for `age` takes
     /// many times as long as the service's fastest ones.
     pub fn is_abnormal(&self, service: &str, goal: Duration, age: Duration) -> bool {
-        let load = self.services.get(service);
+        let load = self.limits.get(service);
         load.is_some_and(|load| load.is_abnormal(goal, age))
     }
 
     /// Returns the services that are overloaded, and those that no longer are since
     /// the last call.
     pub fn take_changes(&mut self, cfg: &OverloadConfig, now: Duration) -> Vec<OverloadChange> {
-        let admissions = &mut self.admissions;
+        let budgets = &mut self.budgets;
         let mut changes = Vec::new();
-        for (service, load) in &mut self.services {
-            let admission = admissions.get_mut(service);
-            let admission = admission.filter(|a| a.has_lasting_flows(cfg));
-            let budget = admission.as_ref().and_then(|a| a.budget_at(now));
+        for (service, load) in &mut self.limits {
+            let budget = budgets.get_mut(service);
+            let budget = budget.filter(|b| b.has_lasting_flows(cfg));
+            let per_s = budget.as_ref().and_then(|b| b.budget_at(now));
             let by_room = self.backlogs.get(service).and_then(|b| b.limit_at(now));
-            let decided = match (admission.is_some(), by_room) {
-                (true, _) => Some(budget.is_some()),
+            let decided = match (budget.is_some(), by_room) {
+                (true, _) => Some(per_s.is_some()),
                 (false, Some(_)) => Some(true),
                 (false, None) => None,
             };
@@ -362,11 +362,11 @@
                 continue;
             };
             change.limit = by_room.or(change.limit);
-            if let Some(admission) = admission {
-                change.budget_per_s = budget.map(|b| b.round() as u32);
-                change.slots_per_s = admission.slots_per_s().map(|s| s.round() as u32);
-                change.link_per_s = admission.link_per_s().map(|l| l.round() as u32);
-                change.demand = admission.demand().collect();
+            if let Some(budget) = budget {
+                change.budget_per_s = per_s.map(|b| b.round() as u32);
+                change.slots_per_s = budget.slots_per_s().map(|s| s.round() as u32);
+                change.link_per_s = budget.link_per_s().map(|l| l.round() as u32);
+                change.demand = budget.demand().collect();
             }
             changes.push(change);
         }
@@ -375,11 +375,11 @@
 
     /// Discards responses that a pause of this process may have delayed.
     pub fn reset(&mut self) {
-        for load in self.services.values_mut() {
+        for load in self.limits.values_mut() {
             load.reset();
         }
-        for admission in self.admissions.values_mut() {
-            admission.reset();
+        for budget in self.budgets.values_mut() {
+            budget.reset();
         }
     }
 }
--- a/crates/cookie/src/admission/overload/admission.rs
+++ b/crates/cookie/src/admission/overload/budget.rs
@@ -58,7 +58,7 @@
 
 /// Admission of the new flows of one service.
 #[derive(Debug, Default)]
-pub(super) struct Admission {
+pub(super) struct Budget {
     demand: Demand,
     queueing: Queueing,
     order: PriorityOrder,
@@ -88,7 +88,7 @@
     capacity: Capacity,
 }
 
-impl Admission {
+impl Budget {
     /// Counts a request that is not the first on its flow; `recent` if the flow was
     /// opened within an epoch.
     pub fn record_later_request(&mut self, priority: u32, recent: bool) {
@@ -306,7 +306,7 @@
         })
     }
 
-    /// Whether the interval is over, so that [`Admission::update`] is due.
+    /// Whether the interval is over, so that [`Budget::update`] is due.
     pub fn is_due(&self, cfg: &OverloadConfig, now: Duration) -> bool {
         now >= self.interval_start + cfg.interval
     }
--- a/crates/cookie/src/admission/overload/service.rs
+++ b/crates/cookie/src/admission/overload/in_flight_limit.rs
@@ -29,7 +29,7 @@
 
 /// Load of one service as inferred from its responses.
 #[derive(Debug, Default)]
-pub(super) struct ServiceLoad {
+pub(super) struct InFlightLimit {
     baselines: Baselines,
     priorities: Priorities,
     interval: Interval,
@@ -49,7 +49,7 @@
     reported: bool,
 }
 
-impl ServiceLoad {
+impl InFlightLimit {
     /// Whether to accept a new flow; see [`super::Overload::admits`].
     pub fn admits(
         &mut self,
@@ -179,9 +179,9 @@
 
     /// Discards what is known of the load.
     pub fn reset(&mut self) {
-        *self = ServiceLoad {
+        *self = InFlightLimit {
             reported: self.reported,
-            ..ServiceLoad::default()
+            ..InFlightLimit::default()
         };
     }
 
--- a/crates/daemon/src/cookie.rs
+++ b/crates/daemon/src/cookie.rs
@@ -7,12 +7,14 @@
 //! and formats.
 
 mod changes;
+mod config;
 mod egress;
 mod follower;
 mod http;
 mod metrics;
 mod packets;
 mod peers;
+mod probe_queue;
 mod prober;
 mod readiness;
 mod reload;
--- a/crates/daemon/src/cookie/egress.rs
+++ b/crates/daemon/src/cookie/egress.rs
@@ -11,7 +11,7 @@
 };
 use sequoiatrail_events::Event;
 
-use super::prober::Prober;
+use super::probe_queue::Probes;
 use super::shared::Shared;
 use crate::counters::{Count, Counters};
 
@@ -19,7 +19,7 @@
 pub(super) struct Egress {
     shared: Arc<Shared>,
     socket: Arc<UdpSocket>,
-    prober: Prober,
+    probes: Probes,
     reports: Sender<SuspectReport>,
     /// Client port that resets are sent to.
     caller_port: u16,
@@ -30,7 +30,7 @@
     pub fn new(
         shared: Arc<Shared>,
         socket: Arc<UdpSocket>,
-        prober: Prober,
+        probes: Probes,
         reports: Sender<SuspectReport>,
         caller_port: u16,
     ) -> Egress {
@@ -38,7 +38,7 @@
             counters: shared.counters.for_thread(),
             shared,
             socket,
-            prober,
+            probes,
             reports,
             caller_port,
         }
@@ -74,7 +74,7 @@
             self.counters.add(Count::Reset, 1);
             self.reset(now, &reset.flow, reset.acked, reset.reason);
         }
-        self.prober.submit(effects.probes);
+        self.probes.submit(effects.probes);
     }
 
     /// Sends a reset to the client of a flow.
--- a/crates/daemon/src/cookie/reload.rs
+++ b/crates/daemon/src/cookie/reload.rs
@@ -6,8 +6,8 @@
 use sequoiatrail_events::Event;
 use sequoiatrail_settings::{CookieSettings, DataSettings, Settings, load};
 
+use super::config::balancer_config;
 use super::shared::Shared;
-use super::start::balancer_config;
 
 /// Interval between checks whether the settings file was modified without a SIGHUP.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
--- a/crates/daemon/src/cookie/start.rs
+++ b/crates/daemon/src/cookie/start.rs
@@ -8,9 +8,7 @@
 use std::time::Duration;
 
 use sequoiatrail_adapter::Kind;
-use sequoiatrail_cookie::{
-    Balancer, Config, OverloadConfig, PeerInfo, Peers, PeersConfig, SuspectReport, WarmupConfig,
-};
+use sequoiatrail_cookie::{Balancer, PeerInfo, Peers, PeersConfig, SuspectReport};
 use sequoiatrail_events::{Event, Log};
 use sequoiatrail_settings::Settings;
 use sequoiatrail_types::{Clock, SystemClock};
@@ -18,12 +16,14 @@
 use snafu::ResultExt;
 
 use super::CookieDaemon;
+use super::config::balancer_config;
 use super::egress::Egress;
 use super::follower::Follower;
 use super::http;
 use super::metrics::Metrics;
 use super::packets::PacketLoop;
 use super::peers::{self, LoadSender, Poller, ReportSender, SharedPeers};
+use super::probe_queue::Probes;
 use super::prober::Prober;
 use super::reload::Reloader;
 use super::shared::Shared;
@@ -38,9 +38,6 @@
 /// Peers per response in the own failure domain if cold targets have a quota, whose
 /// shares depend on how many balancers are known.
 const QUOTA_SAMPLE_SIZE: usize = 32;
-/// Bytes per second in one Mbit/s.
-const BYTES_PER_MBIT: f64 = 125_000.0;
-
 /// Starts all threads and servers.
 pub(super) fn start(file: PathBuf, settings: Settings, log: Log) -> Result<CookieDaemon> {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
@@ -67,20 +64,21 @@
         port => port,
     };
     let (reports, queued_reports) = mpsc::channel();
-    let (prober, probes) = Prober::new(Arc::clone(&shared));
+    let (probes, queued_probes) = Probes::new();
     let socket = Arc::new(socket);
     let egress = Arc::new(Egress::new(
         Arc::clone(&shared),
         Arc::clone(&socket),
-        prober.clone(),
+        probes.clone(),
         reports,
         caller_port,
     ));
     let packets = PacketLoop::new(Arc::clone(&shared), socket, Arc::clone(&egress));
+    let prober = Prober::new(Arc::clone(&shared), egress, probes);
     // Start these first: no packet can be forwarded before the store has responded.
     daemon.start_followers(&settings)?;
     daemon.spawn("packets", move || packets.run())?;
-    daemon.spawn("probe", move || prober.run(egress, probes))?;
+    daemon.spawn("probe", move || prober.run(queued_probes))?;
     daemon.start_peers(&settings, queued_reports)?;
     let metrics = Arc::new(Metrics::new(&shared)?);
     let path = &cookie.readiness_path;
@@ -247,39 +245,3 @@
         Ok,
     )
 }
-
-/// Settings of the forwarding decisions.
-pub(super) fn balancer_config(settings: &Settings) -> Config {
-    Config {
-        domain: Arc::from(settings.cookie.failure_domain.as_str()),
-        flow_max_age: Duration::from_secs_f64(settings.cookie.flow_max_age_s),
-        max_flows: settings.data.max_flows,
-        follow_evacuations: settings.cookie.evacuations,
-        warmup: WarmupConfig {
-            overload_factor: settings.cookie.cold_flow_factor,
-            tolerance: settings.cookie.cold_flow_tolerance,
-        },
-        overload: OverloadConfig {
-            key: admission_key(settings),
-            link_bytes_per_s: link_bytes_per_s(settings),
-            ..OverloadConfig::default()
-        },
-        ..Config::default()
-    }
-}
-
-/// Bytes per second that the VM's link carries, if the settings say so.
-fn link_bytes_per_s(settings: &Settings) -> Option<f64> {
-    let mbps = settings.cookie.link_mbps;
-    (mbps > 0.0).then_some(mbps * BYTES_PER_MBIT)
-}
-
-/// Key of the order in which clients are refused, derived from the key that all
-/// balancers share; 0 without one.
-fn admission_key(settings: &Settings) -> u64 {
-    let Ok(key) = Key::new(settings.peers.key.as_bytes()) else {
-        return 0;
-    };
-    let tag = key.tag(&[b"admission"]);
-    u64::from_be_bytes(std::array::from_fn(|n| tag[n]))
-}
