fix(cookie): flows that were not seen open are not reset proactively

The fault is as old as the reset of idle flows; reports of silent targets made it more frequent. Change: only flows that were seen open here are reset without a packet of their client. A client whose SYN was not answered sends it again within 0.6 s, and it goes elsewhere.

--- a/crates/cookie/src/liveness/silence.rs
+++ b/crates/cookie/src/liveness/silence.rs
@@ -101,14 +101,15 @@
     /// Resets the flows of targets before their clients use them again: data sent
     /// to a silent target is lost, and a non-idempotent request can't be retried.
     /// A flow with a non-idempotent request in flight is kept while the target
-    /// may still respond.
+    /// may still respond. One that was not seen open may be open at another target: a
+    /// copy of its SYN went there through another balancer.
     fn reset_flows_of(&mut self, keys: &[TargetKey], reason: ResetReason) {
         let routes = &self.routes;
         let may_answer = reason == ResetReason::TargetSilent;
         let ended = self.flows.take_where(|id, flow| {
             let idempotent = routes.get(id.route).is_some_and(|r| r.idempotent);
             let in_flight = may_answer && flow.busy && !idempotent;
-            keys.contains(&flow.target) && !flow.closed && !in_flight
+            keys.contains(&flow.target) && flow.open && !flow.closed && !in_flight
         });
         for (flow, state) in ended {
             self.release_flow(state);
--- a/crates/cookie/tests/silent_targets.rs
+++ b/crates/cookie/tests/silent_targets.rs
@@ -121,6 +121,29 @@
     assert_eq!(forwarded(sim.decide(unknown)).0, dead, "it may be running");
 }
 
+/// Fault: a target dies, and the SYN that was sent to it is sent again through another
+/// balancer, which opens the flow at another target.
+#[test]
+fn a_flow_that_was_not_seen_open_is_not_reset_proactively() {
+    let mut sim = Sim::new(2, 0);
+    let dead = TargetId(1);
+    let busy = client_of(&mut sim, dead, IDEMPOTENT);
+    let placed = (300..340)
+        .filter(|client| forwarded(sim.decide(syn(*client, NON_IDEMPOTENT, 0))).0 == dead)
+        .count();
+    assert!(placed > 0);
+    make_silent(&mut sim, busy, IDEMPOTENT, dead);
+    let resets = sim.effects().resets;
+    let unopened = resets.iter().filter(|r| r.flow.client.port() >= 300);
+    assert_eq!(unopened.count(), 0, "{resets:?}");
+    sim.advance(ms(100));
+    let gone = sim.apply_changes(vec![TargetChange::Gone(dead)], true);
+    assert_eq!(gone.len(), 1);
+    let resets = sim.effects().resets;
+    let unopened = resets.iter().filter(|r| r.flow.client.port() >= 300);
+    assert_eq!(unopened.count(), 0, "{resets:?}");
+}
+
 #[test]
 fn idle_flows_of_a_silent_target_are_reset_proactively() {
     let mut sim = Sim::new(2, 0);
