refactor: the last three circles of files end

What both files need lies below both: state of the API server (crates/admin: server, guard, routes), inputs and writes of the control thread (crates/daemon: control, platform_link), and state of the stand-in's server (crates/platform: guard, routes). Pure moves; nothing of it is on the path of packets with flow cookies.

--- a/crates/admin/src/guard.rs
+++ b/crates/admin/src/guard.rs
@@ -10,7 +10,7 @@
 use sequoiatrail_types::TableVersion;
 
 use crate::Access;
-use crate::server::Shared;
+use crate::shared::Shared;
 
 /// Maximum length of an edit identifier, in bytes.
 const MAX_EDIT_ID_BYTES: usize = 128;
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -14,6 +14,7 @@
 mod response;
 mod routes;
 mod server;
+mod shared;
 mod token;
 
 pub use backend::{AdminBackend, AuditRecord, EditFn, ExplainFn, RowsFn};
--- a/crates/admin/src/routes/edit.rs
+++ b/crates/admin/src/routes/edit.rs
@@ -10,7 +10,7 @@
 
 use crate::guard::{EditHeaders, Editor};
 use crate::response::ApiResponse;
-use crate::server::Shared;
+use crate::shared::Shared;
 use crate::{Access, AuditRecord, DrainReply, EditReply, ownership};
 
 /// Retry delay when an edit is rejected as too many or aborted, in seconds.
--- a/crates/admin/src/routes/health.rs
+++ b/crates/admin/src/routes/health.rs
@@ -7,7 +7,7 @@
 
 use crate::guard::MetricsReader;
 use crate::response::{ApiResponse, Format};
-use crate::server::Shared;
+use crate::shared::Shared;
 
 /// Liveness: the process runs and serves requests.
 #[get("/healthz")]
--- a/crates/admin/src/routes/read.rs
+++ b/crates/admin/src/routes/read.rs
@@ -9,7 +9,7 @@
 
 use crate::guard::Reader;
 use crate::response::ApiResponse;
-use crate::server::Shared;
+use crate::shared::Shared;
 use crate::{ExplainQuery, ServiceReport, Status};
 
 #[get("/v1/status")]
--- a/crates/admin/src/routes/table.rs
+++ b/crates/admin/src/routes/table.rs
@@ -10,7 +10,7 @@
 use super::edit::{EditRequest, run_edit};
 use crate::guard::{EditHeaders, Editor, IfMatch, Reader};
 use crate::response::{ApiResponse, Format};
-use crate::server::Shared;
+use crate::shared::Shared;
 use crate::{CheckReply, RowPatch, TableView};
 
 /// The current table of this balancer as JSON, or as CSV with `format=csv`.
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -8,18 +8,10 @@
 use sequoiatrail_platform::{HttpServer, http_config};
 
 use crate::response::other;
+use crate::shared::Shared;
 use crate::token::Tokens;
 use crate::{AdminBackend, AdminConfig, Result, routes};
 
-/// State shared by the routes.
-pub(crate) struct Shared {
-    pub(crate) cfg: AdminConfig,
-    pub(crate) backend: AdminBackend,
-    pub(crate) tokens: Tokens,
-    /// One permit per concurrent edit.
-    pub(crate) edit_permits: Arc<Semaphore>,
-}
-
 /// A running API server; dropping it stops it.
 pub struct AdminServer {
     server: HttpServer,
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -14,19 +14,16 @@
 
 use sequoiatrail_core::{Action, Core, Event as CoreEvent};
 use sequoiatrail_events::{Event, Log};
-use sequoiatrail_health::{Probe, ProbeOutcome};
-use sequoiatrail_membership::Event as MemberEvent;
 use sequoiatrail_peers::{PeerNet, View};
 use sequoiatrail_plan::{Plan, Planner, PlannerSettings};
-use sequoiatrail_platform::{BalancerStatus, StoreEvent};
+use sequoiatrail_platform::BalancerStatus;
 use sequoiatrail_settings::HealthSettings;
-use sequoiatrail_table::Table;
 use sequoiatrail_types::{Clock, NodeId, PlanVersion, ServiceId};
-use sequoiatrail_wire::message::{Body, FlowMessage, TargetMessage};
+use sequoiatrail_wire::message::Body;
 
 use crate::StopFlag;
+use crate::control_messages::{Input, Write};
 use crate::joining::JoinProgress;
-use crate::platform_link::Write;
 use crate::shared_state::SharedState;
 use crate::targets::{TargetProbeQueue, Targets};
 
@@ -39,26 +36,6 @@
 /// Interval between status writes to the platform.
 const STATUS_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Inputs of the control thread.
-pub(crate) enum Input {
-    /// Event of the platform.
-    Store(StoreEvent),
-    /// Event of the failure detector.
-    Member(MemberEvent),
-    /// Message about flows from another balancer.
-    Flow(NodeId, FlowMessage),
-    /// Message about targets from another balancer.
-    Target(NodeId, TargetMessage),
-    /// Table fetched from another balancer.
-    PeerTable(Arc<Table>),
-    /// Plan fetched from another balancer.
-    PeerPlan(Arc<Plan>),
-    /// State fetched from a ready balancer.
-    State(Vec<FlowMessage>),
-    /// Outcome of a target probe.
-    Probed(Probe, ProbeOutcome),
-}
-
 /// Dependencies and settings of the control thread.
 pub(crate) struct Context {
     pub core: Arc<Core>,
--- a/crates/daemon/src/control/platform_events.rs
+++ b/crates/daemon/src/control/platform_events.rs
@@ -7,7 +7,7 @@
 use sequoiatrail_types::NodeId;
 
 use super::Control;
-use crate::platform_link::Write;
+use crate::control_messages::Write;
 
 impl Control {
     pub(super) fn handle_store_event(&mut self, event: StoreEvent) {
--- a/crates/daemon/src/control/versions.rs
+++ b/crates/daemon/src/control/versions.rs
@@ -10,7 +10,7 @@
 use sequoiatrail_types::NodeId;
 
 use super::Control;
-use crate::platform_link::Write;
+use crate::control_messages::Write;
 
 impl Control {
     pub(super) fn apply_peer_plan(&mut self, plan: Arc<Plan>) {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -18,7 +18,7 @@
 use sequoiatrail_types::{NodeId, TableVersion};
 use snafu::ResultExt;
 
-use crate::control::Input;
+use crate::control_messages::Input;
 use crate::counters::{Count, CounterSet};
 use crate::error::ThreadSnafu;
 use crate::platform_link::PlatformLink;
--- a/crates/daemon/src/daemon/start.rs
+++ b/crates/daemon/src/daemon/start.rs
@@ -16,13 +16,13 @@
 
 use super::Daemon;
 use crate::admin_link::AdminContext;
-use crate::control::{Context, Control, Input};
+use crate::control::{Context, Control};
+use crate::control_messages::{Input, Write};
 use crate::egress::Egress;
 use crate::error::{SocketSnafu, ThreadSnafu};
 use crate::fetch::Fetcher;
 use crate::forward::{DataPath, Forwarder};
 use crate::peer_link::PeerContext;
-use crate::platform_link::Write;
 use crate::probe::ProbeResult;
 use crate::targets::TargetProbeQueue;
 use crate::{Result, StopFlag, admin_link, peer_link, platform_link, probe, receive};
--- a/crates/daemon/src/fetch.rs
+++ b/crates/daemon/src/fetch.rs
@@ -14,7 +14,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::StopFlag;
-use crate::control::Input;
+use crate::control_messages::Input;
 use crate::shared_state::SharedState;
 
 /// Interval between checks for newer objects of peers.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod admin_link;
 mod batch;
 mod control;
+mod control_messages;
 pub mod cookie;
 mod counters;
 mod daemon;
--- a/crates/daemon/src/peer_link.rs
+++ b/crates/daemon/src/peer_link.rs
@@ -13,7 +13,7 @@
 use sequoiatrail_wire::message::PeerAddress;
 
 use crate::Result;
-use crate::control::Input;
+use crate::control_messages::Input;
 use crate::error::ComponentSnafu;
 use crate::forward::{DataPath, Forwarder};
 use crate::shared_state::SharedState;
--- a/crates/daemon/src/platform_link.rs
+++ b/crates/daemon/src/platform_link.rs
@@ -8,30 +8,20 @@
 use sequoiatrail_events::{Event, Log};
 use sequoiatrail_plan::{Plan, Proposal};
 use sequoiatrail_platform::{
-    BalancerStatus, Client, ClientConfig, Edit, EditOutcome, Error as PlatformError, FollowConfig,
-    StandIn, StandInConfig, Store, StoreEvent,
+    Client, ClientConfig, Edit, EditOutcome, Error as PlatformError, FollowConfig, StandIn,
+    StandInConfig, Store, StoreEvent,
 };
 use sequoiatrail_settings::PlatformSettings;
 use sequoiatrail_table::{EditId, from_csv};
-use sequoiatrail_types::{Clock, NodeId, Verdict};
+use sequoiatrail_types::{Clock, Verdict};
 
-use crate::control::Input;
+use crate::control_messages::{Input, Write};
 use crate::error::{ComponentSnafu, InitialTableSnafu};
 use crate::{Result, StopFlag};
 
 /// Interval at which a non-watching balancer checks whether it must watch.
 const WATCHER_POLL: Duration = Duration::from_millis(500);
 
-/// Write to the platform.
-pub(crate) enum Write {
-    /// Writes a plan if the plan that it replaces is still current.
-    Plan(Proposal),
-    /// Writes the status of this balancer.
-    Status(BalancerStatus),
-    /// Removes the status of this balancer.
-    Remove(NodeId),
-}
-
 /// Connection to the configured platform.
 pub(crate) struct PlatformLink {
     /// `None` if table and plans come only from other balancers.
--- a/crates/platform/src/stand_in/control.rs
+++ b/crates/platform/src/stand_in/control.rs
@@ -6,7 +6,7 @@
 
 use super::Faults;
 use super::api_response::ApiResponse;
-use super::routes::SharedState;
+use super::shared::SharedState;
 use crate::Vm;
 
 pub(super) fn all() -> Vec<Route> {
--- a/crates/platform/src/stand_in/guard.rs
+++ b/crates/platform/src/stand_in/guard.rs
@@ -7,7 +7,7 @@
 use rocket::request::{FromRequest, Request};
 use subtle::ConstantTimeEq;
 
-use super::routes::Shared;
+use super::shared::Shared;
 use crate::{Precondition, Revision};
 
 /// A client that sent the correct token, or any client if no token is configured.
--- a/crates/platform/src/stand_in/mod.rs
+++ b/crates/platform/src/stand_in/mod.rs
@@ -11,6 +11,7 @@
 mod objects;
 mod routes;
 mod service;
+mod shared;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -24,7 +25,7 @@
 
 use crate::http_server::{HttpServer, StartError, http_config};
 use crate::{Revision, Vm};
-use routes::Shared;
+use shared::Shared;
 
 /// A running stand-in; stopped on drop.
 pub struct StandIn {
--- a/crates/platform/src/stand_in/routes.rs
+++ b/crates/platform/src/stand_in/routes.rs
@@ -1,19 +1,18 @@
 //! HTTP routes of the stand-in.
 
 use std::path::{Component, PathBuf};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use rocket::http::Status;
-use rocket::tokio::sync::watch;
 use rocket::tokio::time::timeout;
-use rocket::{FromForm, Route, Shutdown, State, delete, get, put, routes};
-use sequoiatrail_types::Clock;
+use rocket::{FromForm, Route, Shutdown, delete, get, put, routes};
 use serde_json::Value;
 
-use super::api_response::{ApiResponse, apply_admission, no_response};
+use super::CallKind;
+use super::api_response::{ApiResponse, no_response};
 use super::guard::AuthorizedClient;
-use super::{CallKind, StandInService};
+use super::shared::{Shared, SharedState};
 use crate::{MAX_VALUE_BYTES, Precondition, Revision, WriteResponse};
 
 /// Max wait of a watch.
@@ -21,36 +20,6 @@
 /// Max length of a key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
-/// State shared by all routes.
-pub(super) struct Shared {
-    pub(super) service: Mutex<StandInService>,
-    pub(super) clock: Arc<dyn Clock>,
-    /// Wakes pending watches.
-    pub(super) changed: watch::Sender<Revision>,
-    pub(super) allow_control: bool,
-    /// Bearer token required from clients.
-    pub(super) token: Option<String>,
-}
-
-impl Shared {
-    pub(super) fn lock(&self) -> MutexGuard<'_, StandInService> {
-        self.service.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    async fn admit(&self, kind: CallKind, shutdown: Shutdown) -> Result<(), ApiResponse> {
-        let admission = self.lock().admit(self.clock.now(), kind);
-        apply_admission(admission, shutdown).await
-    }
-
-    pub(super) fn wake_watches(&self) {
-        let revision = self.lock().objects.revision();
-        self.changed.send_replace(revision);
-    }
-}
-
-/// Request guard for [`Shared`].
-pub(super) type SharedState = State<Arc<Shared>>;
-
 pub(super) fn all() -> Vec<Route> {
     routes![read, write, remove, list, changes, vms]
 }
