feat(cookie): a balancer that starts hears which targets have ended

Change: the corrections that a starting balancer asks others for name the targets that the store no longer lists; packets with their cookies are answered by a reset at once. Older builds send none and ignore it.

--- a/crates/cookie/src/packets/decide.rs
+++ b/crates/cookie/src/packets/decide.rs
@@ -142,6 +142,9 @@
         if seg.cookie == Cookie(0) {
             return Decision::Drop(DropReason::NoCookie);
         }
+        if self.heard_corrections.has_ended(seg.cookie) {
+            return reset(seg, ResetReason::TargetGone);
+        }
         if self.unknown.age(now, seg.cookie) < self.cfg.unknown_cookie_grace {
             return Decision::Drop(DropReason::UnknownCookie);
         }
--- a/crates/cookie/src/targets/corrections.rs
+++ b/crates/cookie/src/targets/corrections.rs
@@ -3,13 +3,14 @@
 //! Fault: the store is restored from a copy that lists targets which have left since, and
 //! lacks those that joined. A balancer that ran all the time knows them, but one that
 //! starts afterwards has only the list: it would send flows to the former and reset those
-//! of the latter. It therefore asks the others once.
+//! of the latter. It therefore asks the others once. They also tell which targets are gone
+//! whose flows may still be open, so that it ends these instead of dropping their packets.
 
 use std::time::Duration;
 
 use hashbrown::HashMap;
 
-use crate::{Balancer, TargetEntry, TargetEvent, TargetId};
+use crate::{Balancer, Cookie, TargetEntry, TargetEvent, TargetId};
 
 /// Maximum number of targets of each kind that are told.
 const MAX_TOLD: usize = 256;
@@ -23,6 +24,10 @@
     pub gone: Vec<TargetId>,
     /// Targets that the store lacks and that may write their entries again.
     pub unconfirmed: Vec<TargetEntry>,
+    /// Those of `gone` that the store no longer lists: their flows can't continue. Missing
+    /// in messages of older builds.
+    #[serde(default)]
+    pub ended: Vec<TargetId>,
 }
 
 /// How far a target has left.
@@ -37,6 +42,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct HeardCorrections {
     targets: HashMap<TargetId, (Departure, Duration)>,
+    /// Cookies of targets that ended before this process started, and when it heard so.
+    ended: HashMap<Cookie, Duration>,
     /// Empty once a list is loaded.
     unconfirmed: Vec<TargetEntry>,
 }
@@ -45,6 +52,12 @@
     /// Forgets what was said longer ago than `retention`.
     pub fn sweep(&mut self, now: Duration, retention: Duration) {
         self.targets.retain(|_, (_, at)| now < *at + retention);
+        self.ended.retain(|_, at| now < *at + retention);
+    }
+
+    /// Whether the cookie is that of a target that has ended.
+    pub fn has_ended(&self, cookie: Cookie) -> bool {
+        self.ended.contains_key(&cookie)
     }
 }
 
@@ -63,6 +76,11 @@
                 .take(MAX_TOLD)
                 .cloned()
                 .collect(),
+            ended: targets()
+                .filter(|t| t.is_gone())
+                .map(|t| t.entry.id)
+                .take(MAX_TOLD)
+                .collect(),
         }
     }
 
@@ -73,6 +91,8 @@
         let unconfirmed = &mut self.heard_corrections.unconfirmed;
         unconfirmed.extend(corrections.unconfirmed);
         self.apply_unconfirmed(now);
+        let ended = corrections.ended.iter().map(|id| (id.cookie(), now));
+        self.heard_corrections.ended.extend(ended);
         let gone = corrections.gone.into_iter().map(|id| (id, Departure::Gone));
         let draining = corrections.draining.into_iter();
         let draining = draining.map(|id| (id, Departure::Draining));
--- a/crates/cookie/tests/flows_follow_their_cookie.rs
+++ b/crates/cookie/tests/flows_follow_their_cookie.rs
@@ -11,6 +11,28 @@
     Segment, TargetChange, TargetEntry, TargetEvent, TargetId,
 };
 
+/// Fault: balancers are replaced while targets leave; a new one never knew the target of an
+/// open flow.
+#[test]
+fn flows_of_targets_that_ended_before_the_start_are_reset_at_once_if_others_say_so() {
+    let mut running = Sim::new(2, 0);
+    let left = TargetId(1);
+    running.apply_changes(vec![TargetChange::Gone(left)], true);
+    let corrections = running.balancer.corrections();
+    assert_eq!(corrections.ended, [left]);
+    let mut started = Sim::new(0, 0);
+    started.apply_changes(vec![TargetChange::Present(entry(2, "a"))], true);
+    let packet = data(5, IDEMPOTENT, left.cookie(), 50, 9);
+    let unknown = Decision::Drop(DropReason::UnknownCookie);
+    assert_eq!(started.decide(packet), unknown);
+    let now = started.now;
+    started.balancer.record_corrections(now, corrections);
+    let gone = Decision::Reset(ResetReason::TargetGone);
+    assert_eq!(started.decide(packet), gone);
+    let other = data(6, IDEMPOTENT, TargetId(77).cookie(), 50, 9);
+    assert_eq!(started.decide(other), unknown);
+}
+
 #[test]
 fn a_balancer_that_never_saw_a_flow_forwards_it() {
     let mut first = Sim::new(4, 0);
