--- a/crates/cookie/src/liveness/health.rs
+++ b/crates/cookie/src/liveness/health.rs
@@ -67,8 +67,8 @@
     /// A probe was requested.
     Suspect,
     /// A probe failed and there was no response since it was requested, but that has
-    /// other explanations; or another balancer saw it leave. It is probed again; meanwhile it gets no new flows and keeps
-    /// those it has.
+    /// other explanations; or another balancer saw it leave. It is probed again; meanwhile
+    /// it gets no new flows and keeps those it has.
     Unconfirmed,
     /// A probe failed and there was no response since it was requested.
     Silent,
