--- a/crates/cookie/tests/room.rs
+++ b/crates/cookie/tests/room.rs
@@ -69,6 +69,22 @@
     f64::from(counts.in_time) / (replay.capacity() * (OVERLOAD - ABSORBED).as_secs_f64())
 }
 
+/// Checks that all balancers refuse equal parts of the requests that are not urgent.
+fn assert_equal_refusals(replay: &Replay, load: f64) {
+    let refused = |balancer: usize| {
+        let attempts = replay.attempts.iter();
+        let own = attempts.filter(|a| a.balancer == balancer && a.port == IDEMPOTENT);
+        let (refused, all) = own.fold((0, 0), |(refused, all), attempt| {
+            (refused + u32::from(!attempt.admitted), all + 1)
+        });
+        f64::from(refused) / f64::from(all)
+    };
+    let shares: Vec<f64> = (0..BALANCERS).map(refused).collect();
+    let least = shares.iter().copied().fold(1.0, f64::min);
+    let most = shares.iter().copied().fold(0.0, f64::max);
+    assert!(most - least <= 0.1, "load {load}: {shares:.2?}");
+}
+
 #[test]
 fn most_slots_work_on_requests_that_are_answered_in_time() {
     for load in [1.3, 2.0, 4.0, 14.0] {
@@ -106,18 +122,7 @@
     for load in [1.3, 2.0, 4.0, 14.0] {
         let mut replay = replay();
         overloaded(&mut replay, load);
-        let refused = |balancer: usize| {
-            let attempts = replay.attempts.iter();
-            let own = attempts.filter(|a| a.balancer == balancer && a.port == IDEMPOTENT);
-            let (refused, all) = own.fold((0, 0), |(refused, all), attempt| {
-                (refused + u32::from(!attempt.admitted), all + 1)
-            });
-            f64::from(refused) / f64::from(all)
-        };
-        let shares: Vec<f64> = (0..BALANCERS).map(refused).collect();
-        let least = shares.iter().copied().fold(1.0, f64::min);
-        let most = shares.iter().copied().fold(0.0, f64::max);
-        assert!(most - least <= 0.1, "load {load}: {shares:.2?}");
+        assert_equal_refusals(&replay, load);
     }
 }
 
@@ -150,17 +155,6 @@
         let served = f64::from(urgent.in_time) / f64::from(sum);
         assert!(goodput >= 0.9, "load {load}: {goodput:.2}, {all:?}");
         assert!(served >= 0.97, "load {load}: {urgent:?} of {all:?}");
-        let refused = |balancer: usize| {
-            let attempts = replay.attempts.iter();
-            let own = attempts.filter(|a| a.balancer == balancer && a.port == IDEMPOTENT);
-            let (refused, all) = own.fold((0, 0), |(refused, all), attempt| {
-                (refused + u32::from(!attempt.admitted), all + 1)
-            });
-            f64::from(refused) / f64::from(all)
-        };
-        let shares: Vec<f64> = (0..BALANCERS).map(refused).collect();
-        let least = shares.iter().copied().fold(1.0, f64::min);
-        let most = shares.iter().copied().fold(0.0, f64::max);
-        assert!(most - least <= 0.1, "load {load}: {shares:.2?}");
+        assert_equal_refusals(&replay, load);
     }
 }
