fix(cookie): a fleet that isn't known as a whole tells no load of other failure domains

In larger domains it knows few or none of the others, took these for all, sent them its load and took the load elsewhere for theirs, or for none: the room then decided by a part of the targets' load. Change: with as many peers as are remembered the others count as unknown, and the limit in flight decides, as in other large fleets.

--- a/crates/cookie/src/peers.rs
+++ b/crates/cookie/src/peers.rs
@@ -256,11 +256,15 @@
         local.map(|(address, _)| *address).collect()
     }
 
-    /// Addresses of the peers of other failure domains that are not failing.
-    pub fn remote_peers(&self) -> Vec<SocketAddr> {
+    /// Addresses of the peers of other failure domains that are not failing; `None` in a
+    /// fleet of more balancers than are remembered, whose others are unknown.
+    pub fn remote_peers(&self) -> Option<Vec<SocketAddr>> {
+        if self.known.len() >= self.cfg.max_peers {
+            return None;
+        }
         let known = self.known.iter().filter(|(_, p)| p.failures == 0);
         let remote = known.filter(|(_, p)| p.domain.is_some() && !p.is_in(&self.own.domain));
-        remote.map(|(address, _)| *address).collect()
+        Some(remote.map(|(address, _)| *address).collect())
     }
 
     /// Whether any peer responds, or there is none to respond.
--- a/crates/cookie/tests/peers.rs
+++ b/crates/cookie/tests/peers.rs
@@ -125,6 +125,23 @@
     assert!(sample.len() <= 2 * cfg.sample_size);
 }
 
+/// Load: a failure domain of more balancers than are remembered, so that none of the others'
+/// is known and the load there can't be taken for 0.
+#[test]
+fn a_balancer_that_does_not_know_the_whole_fleet_tells_no_remote_peers() {
+    let mut peers = peers(&[]);
+    let max = PeersConfig::default().max_peers as u8;
+    for number in 2..=max {
+        peers.record_contact(&peer_info(number, "a"));
+    }
+    assert_eq!(peers.remote_peers(), Some(vec![]), "all are known");
+    peers.record_contact(&peer_info(max + 1, "b"));
+    assert_eq!(peers.len(), usize::from(max));
+    assert_eq!(peers.remote_peers(), None);
+    peers.record_contact(&peer_info(max + 2, "a"));
+    assert_eq!(peers.remote_peers(), None);
+}
+
 /// Balancers 1 to 3 in domain `a`, 4 and 5 in `b`; all have responded.
 fn peers_in_two_domains() -> (Peers, Vec<PeerInfo>) {
     let mut peers = peers(&[2, 4]);
--- a/crates/daemon/src/cookie/peers/load.rs
+++ b/crates/daemon/src/cookie/peers/load.rs
@@ -54,13 +54,13 @@
         balancer.refresh_domain_load(now, self.own, known)
     }
 
-    /// Recipients in other failure domains; none if they are so many that what they
-    /// report would be too old to decide by.
+    /// Recipients in other failure domains; none if not all are known, or if they are so
+    /// many that what they report would be too old to decide by.
     fn remote_recipients(&self, now: Duration) -> Vec<SocketAddr> {
         let known = self.peers.lock().remote_peers();
-        if known.len() > MAX_REMOTE_PEERS {
+        let Some(known) = known.filter(|known| known.len() <= MAX_REMOTE_PEERS) else {
             return Vec::new();
-        }
+        };
         let mut balancer = self.shared.lock();
         balancer.refresh_remote_load(now, self.own, known)
     }
