--- a/crates/cookie/src/admission/overload/room.rs
+++ b/crates/cookie/src/admission/overload/room.rs
@@ -99,9 +99,9 @@
         per_slot.clamp(MIN_PER_SLOT, FULL_PER_SLOT)
     }
 
-    /// Whether to accept a new flow after [`Backlog::observe`]. `per_slot` are the requests per slot that meet their
-    /// goals, `least` those through this balancer up to which it refuses none,
-    /// `urgent_factor` a factor on the limit for the flow's priority.
+    /// Whether to accept a new flow after [`Backlog::observe`]. `per_slot` are the requests
+    /// per slot that meet their goals, `least` those through this balancer up to which it
+    /// refuses none, `urgent_factor` a factor on the limit for the flow's priority.
     pub fn admits(
         &mut self,
         now: Duration,
