--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,5 @@
+#!/bin/bash
+# One entry that can't be read, by another writer, among those of the targets.
+# Needs the build of deploy/system.toml and review/build.sh.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review/stand-in unreadable-entry review/1/record.txt
--- /dev/null
+++ b/review/stand-in/store.rs
@@ -0,0 +1,237 @@
+//! The platform's store of objects, as far as balancers use it: lists and watches over HTTP.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Objects per list page.
+const PAGE_SIZE: usize = 500;
+/// Interval at which a waiting watch looks for changes that a replica has received.
+const WATCH_POLL: Duration = Duration::from_millis(5);
+/// Time without a request after which a connection is closed.
+const CONNECTION_IDLE: Duration = Duration::from_secs(60);
+
+/// A change of one object. The store keeps all of them.
+struct Change {
+    revision: u64,
+    kind: &'static str,
+    name: String,
+    /// The object as it is sent.
+    object: Vec<u8>,
+    deleted: bool,
+    at: Instant,
+}
+
+#[derive(Default)]
+struct Inner {
+    revision: u64,
+    changes: Vec<Change>,
+    /// How far stale reads are behind.
+    stale_lag: Duration,
+    calls: u64,
+}
+
+/// A running store.
+#[derive(Clone, Default)]
+pub struct Store {
+    shared: Arc<(Mutex<Inner>, Condvar)>,
+}
+
+impl Store {
+    /// Starts an empty store.
+    pub fn start(address: SocketAddrV4) -> std::io::Result<Store> {
+        let store = Store::default();
+        // Revisions start above 0.
+        store.lock().revision = 100;
+        let listener = TcpListener::bind(address)?;
+        let server = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = server.clone();
+                thread::spawn(move || server.serve(stream));
+            }
+        });
+        Ok(store)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.shared.0.lock().unwrap()
+    }
+
+    /// Writes an object; `spec` is sent as it is. Returns when the write was acknowledged.
+    pub fn put(&self, kind: &'static str, name: &str, spec: &[u8]) -> Instant {
+        self.change(kind, name, Some(spec))
+    }
+
+    /// Removes an object. Returns when the removal was acknowledged.
+    pub fn delete(&self, kind: &'static str, name: &str) -> Instant {
+        self.change(kind, name, None)
+    }
+
+    fn change(&self, kind: &'static str, name: &str, spec: Option<&[u8]>) -> Instant {
+        let mut inner = self.lock();
+        inner.revision += 1;
+        let revision = inner.revision;
+        let mut object = format!(
+            "{{\"meta\":{{\"name\":\"{name}\",\"revision\":{revision},\
+             \"created_revision\":{revision},\"finalizers\":[],\"deletion_pending\":false}},\
+             \"spec\":"
+        )
+        .into_bytes();
+        object.extend_from_slice(spec.unwrap_or(b"null"));
+        object.extend_from_slice(b",\"status\":null}");
+        let at = Instant::now();
+        inner.changes.push(Change {
+            revision,
+            kind,
+            name: name.to_owned(),
+            object,
+            deleted: spec.is_none(),
+            at,
+        });
+        self.shared.1.notify_all();
+        at
+    }
+
+    /// Sets how far stale reads are behind.
+    pub fn set_stale_lag(&self, lag: Duration) {
+        self.lock().stale_lag = lag;
+    }
+
+    /// Number of calls so far.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(CONNECTION_IDLE));
+        let mut buf = Vec::new();
+        while let Some(path) = read_request(&mut stream, &mut buf) {
+            let body = self.respond(&path);
+            let status = match body.is_empty() {
+                true => "404 Not Found",
+                false => "200 OK",
+            };
+            let head = format!(
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
+            let mut bytes = head.into_bytes();
+            bytes.extend_from_slice(&body);
+            if stream.write_all(&bytes).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// The body of a response, empty if the path is unknown.
+    fn respond(&self, path: &str) -> Vec<u8> {
+        self.lock().calls += 1;
+        let (path, query) = path.split_once('?').unwrap_or((path, ""));
+        let Some(kind) = path.strip_prefix("/sequoiatrail/objects/") else {
+            return Vec::new();
+        };
+        let field = |name: &str| {
+            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            let mut values = pairs.filter(|(key, _)| *key == name);
+            values.next().map(|(_, value)| value.to_owned())
+        };
+        let stale = field("allow_stale").as_deref() == Some("1");
+        match field("watch_revision").and_then(|text| text.parse().ok()) {
+            Some(after) => {
+                let wait = field("wait_timeout_ms").and_then(|text| text.parse().ok());
+                let wait = Duration::from_millis(wait.unwrap_or(0));
+                self.watch(kind, after, wait, stale)
+            }
+            None => self.list(kind, &field("after").unwrap_or_default(), stale),
+        }
+    }
+
+    fn list(&self, kind: &str, after: &str, stale: bool) -> Vec<u8> {
+        let inner = self.lock();
+        let visible = inner.visible(stale);
+        let mut objects: BTreeMap<&str, &[u8]> = BTreeMap::new();
+        let changes = inner.changes.iter().filter(|c| c.kind == kind);
+        for change in changes.take_while(|c| c.revision <= visible) {
+            match change.deleted {
+                true => objects.remove(change.name.as_str()),
+                false => objects.insert(&change.name, &change.object),
+            };
+        }
+        let rest: Vec<&[u8]> = objects
+            .into_iter()
+            .filter(|(name, _)| *name > after)
+            .map(|(_, object)| object)
+            .collect();
+        let has_more = rest.len() > PAGE_SIZE;
+        let mut body = b"{\"items\":[".to_vec();
+        body.extend_from_slice(&rest[..rest.len().min(PAGE_SIZE)].join(&b','));
+        let end = format!("],\"has_more\":{has_more},\"read_revision\":{visible}}}");
+        body.extend_from_slice(end.as_bytes());
+        body
+    }
+
+    fn watch(&self, kind: &str, after: u64, wait: Duration, stale: bool) -> Vec<u8> {
+        let deadline = Instant::now() + wait;
+        let mut inner = self.lock();
+        loop {
+            let visible = inner.visible(stale);
+            let events: Vec<Vec<u8>> = inner
+                .changes
+                .iter()
+                .filter(|c| c.kind == kind && c.revision > after && c.revision <= visible)
+                .map(Change::event)
+                .collect();
+            if !events.is_empty() || Instant::now() >= deadline {
+                let mut body = b"{\"events\":[".to_vec();
+                body.extend_from_slice(&events.join(&b','));
+                let end = format!("],\"read_revision\":{}}}", visible.max(after));
+                body.extend_from_slice(end.as_bytes());
+                return body;
+            }
+            let waited = self.shared.1.wait_timeout(inner, WATCH_POLL);
+            inner = waited.unwrap().0;
+        }
+    }
+}
+
+impl Inner {
+    /// The last revision that a read sees.
+    fn visible(&self, stale: bool) -> u64 {
+        if !stale || self.stale_lag.is_zero() {
+            return self.revision;
+        }
+        let now = Instant::now();
+        let hidden = self.changes.iter().find(|c| c.at + self.stale_lag > now);
+        hidden.map_or(self.revision, |change| change.revision - 1)
+    }
+}
+
+impl Change {
+    fn event(&self) -> Vec<u8> {
+        let mut event = format!("{{\"deleted\":{},\"object\":", self.deleted).into_bytes();
+        event.extend_from_slice(&self.object);
+        event.push(b'}');
+        event
+    }
+}
+
+/// Reads a request without a body; its path, or `None` at the end of the connection.
+fn read_request(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<String> {
+    let mut chunk = [0; 2_048];
+    loop {
+        let text = String::from_utf8_lossy(buf).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            buf.drain(..end + 4);
+            return text.split(' ').nth(1).map(str::to_owned);
+        }
+        match stream.read(&mut chunk) {
+            Ok(length) if length > 0 => buf.extend_from_slice(&chunk[..length]),
+            _ => return None,
+        }
+    }
+}
