--- a/review/stand-in/cases.rs
+++ b/review/stand-in/cases.rs
@@ -139,15 +139,6 @@
     let mut world = World::start(SHORT_FLOWS)?;
     settle(&mut world)?;
     World::sleep(ms(3_000));
-    // In the first part of the watches, which are repeated every 2.5 s.
-    while world
-        .store
-        .last_watch()
-        .is_none_or(|at| at.elapsed() > ms(50))
-    {
-        World::sleep(ms(5));
-    }
-    World::sleep(ms(400));
     let silent_at = Instant::now();
     if trouble {
         world.store.silence_connections();
--- a/review/stand-in/store.rs
+++ b/review/stand-in/store.rs
@@ -33,8 +33,6 @@
     calls: u64,
     /// Connections accepted before this moment are silent.
     silent_before: Option<Instant>,
-    /// When the last watch began.
-    last_watch: Option<Instant>,
 }
 
 /// A running store.
@@ -103,11 +101,6 @@
         self.lock().silent_before = Some(Instant::now());
     }
 
-    /// When the last watch began.
-    pub fn last_watch(&self) -> Option<Instant> {
-        self.lock().last_watch
-    }
-
     /// Number of calls so far.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -189,10 +182,8 @@
     }
 
     fn watch(&self, kind: &str, after: u64, wait: Duration) -> Vec<u8> {
-        let began = Instant::now();
-        let deadline = began + wait;
+        let deadline = Instant::now() + wait;
         let mut inner = self.lock();
-        inner.last_watch = Some(began);
         loop {
             let visible = inner.revision;
             let events: Vec<Vec<u8>> = inner
