--- a/review/stand-in/world.rs
+++ b/review/stand-in/world.rs
@@ -263,6 +263,8 @@
         for client in self.clients.drain(..) {
             let _ = client.join();
         }
+        let lines = self.lines_by_boot();
+        self.record.extend(lines);
         let totals = self.totals();
         self.note(&totals);
         self.note(verdict);
@@ -277,6 +279,19 @@
         Ok(())
     }
 
+    /// What each start of a target took.
+    fn lines_by_boot(&self) -> Vec<String> {
+        let seen = self.seen.lock().unwrap();
+        let boots = 0..seen.alive.len();
+        let lines = boots.map(|boot| {
+            let taken = seen.openings.iter().filter(|o| o.boot == boot);
+            let count = taken.clone().count();
+            let last = taken.last().map_or(0.0, |o| self.at(o.at));
+            format!("  boot {boot}: {count} opening packets taken, the last at {last:.3}")
+        });
+        lines.collect()
+    }
+
     fn totals(&self) -> String {
         let counts = &self.shared.counts;
         let get = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
