--- a/review/stand-in-2/common.rs
+++ b/review/stand-in-2/common.rs
@@ -527,6 +527,11 @@
         self.child = Some(child);
     }
 
+    /// Identity of the running process; 0 if there is none.
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     /// SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
