--- a/review/stand-in-2/common.rs
+++ b/review/stand-in-2/common.rs
@@ -166,6 +166,8 @@
     changed: Condvar,
     /// Connections accepted before this moment get no bytes any more.
     silent_before: Mutex<Option<Instant>>,
+    /// Bytes per second on each connection; 0 sets no limit.
+    pub bytes_per_s: AtomicU64,
     /// How old the data of calls with `allow_stale` is.
     stale_by: Mutex<Duration>,
     /// Objects per page of a list.
@@ -192,6 +194,7 @@
             objects: Mutex::new(Objects { revision: 100, ..Objects::default() }),
             changed: Condvar::new(),
             silent_before: Mutex::new(None),
+            bytes_per_s: AtomicU64::new(0),
             stale_by: Mutex::new(Duration::ZERO),
             page: AtomicUsize::new(500),
             lists: AtomicU64::new(0),
@@ -292,12 +295,30 @@
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
-            if out.write_all(&[head.as_bytes(), &body].concat()).is_err() {
+            if !self.send(&mut out, &[head.as_bytes(), &body].concat()) {
                 return;
             }
         }
     }
 
+    /// Sends an answer at the speed of the link; returns whether the other end took it.
+    fn send(&self, out: &mut TcpStream, bytes: &[u8]) -> bool {
+        let per_s = self.bytes_per_s.load(Ordering::Relaxed);
+        if per_s == 0 {
+            return out.write_all(bytes).is_ok();
+        }
+        let step = ms(10);
+        let mut due = Instant::now();
+        for chunk in bytes.chunks((per_s / 100).max(1) as usize) {
+            if out.write_all(chunk).is_err() {
+                return false;
+            }
+            due += step;
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+        }
+        true
+    }
+
     fn answer(&self, path: &str, accepted: Instant) -> (u16, Vec<u8>) {
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
         let rest = path.strip_prefix("/sequoiatrail/objects/").unwrap_or_default();
@@ -362,6 +383,9 @@
         self.watches.fetch_add(1, Ordering::Relaxed);
         let until = Instant::now() + wait;
         let mut objects = lock(&self.objects);
+        if objects.history_is_gone(after) {
+            return (410, b"{\"error_message\":\"this history is gone\"}".to_vec());
+        }
         loop {
             let events: Vec<&[u8]> = objects
                 .visible(stale_by)
@@ -382,7 +406,16 @@
     }
 }
 
+/// How long the store keeps its history (`retention_s` of the small sites).
+const RETENTION: Duration = Duration::from_secs(20);
+
 impl Objects {
+    /// Whether changes after a revision are older than the history that is kept.
+    fn history_is_gone(&self, after: u64) -> bool {
+        let now = Instant::now();
+        self.history.iter().any(|c| c.revision > after && c.at + RETENTION <= now)
+    }
+
     /// The changes that a replica has which is `stale_by` behind.
     fn visible(&self, stale_by: Duration) -> impl Iterator<Item = &Change> {
         let now = Instant::now();
