test(review): let case 4 open flows while the foreign entries stand

Two more clients open a flow for each request, so that what happens to new flows is measured rather than read.

--- a/review/stand-in-2/namesake.rs
+++ b/review/stand-in-2/namesake.rs
@@ -106,6 +106,28 @@
             })
         })
         .collect();
+    // Two more clients open a flow for each request.
+    let fresh: Arc<Mutex<Vec<(Instant, bool)>>> = Arc::default();
+    let fresh_threads: Vec<_> = (0..2u64)
+        .map(|n| {
+            let client = Arc::clone(&addresses[n as usize]);
+            let (stop, fresh) = (Arc::clone(&stop), Arc::clone(&fresh));
+            thread::spawn(move || {
+                let mut id = (1_000 + n) << 32;
+                while !stop.load(Ordering::Acquire) {
+                    id += 1;
+                    let sent_at = Instant::now();
+                    let outcome = client.open(route).map(|mut flow| {
+                        let outcome = flow.request("POST", id, ms(1_500));
+                        flow.close();
+                        outcome
+                    });
+                    lock(&fresh).push((sent_at, outcome == Ok(Outcome::Served)));
+                    thread::sleep(ms(100));
+                }
+            })
+        })
+        .collect();
     thread::sleep(ms(5_000));
     let begin = Instant::now();
     let copies: Vec<String> = targets.iter().map(|t| format!("copy-{}", &t.entry_name()[2..])).collect();
@@ -125,7 +147,7 @@
     let removed = Instant::now();
     thread::sleep(ms(15_000));
     stop.store(true, Ordering::Release);
-    for thread in threads {
+    for thread in threads.into_iter().chain(fresh_threads) {
         let _ = thread.join();
     }
     let opened = lock(&seen.opened).clone();
@@ -141,14 +163,19 @@
             reset.client, at_ms(open.open_at), open.target, at_ms(reset.at)
         ));
     }
-    let attempts = lock(&attempts);
-    let share = |from: Instant, to: Instant| {
-        let span: Vec<_> = attempts.iter().filter(|(at, _)| *at >= from && *at < to).collect();
+    let (attempts, fresh) = (lock(&attempts), lock(&fresh));
+    let share_of = |all: &[(Instant, bool)], from: Instant, to: Instant| {
+        let span: Vec<_> = all.iter().filter(|(at, _)| *at >= from && *at < to).collect();
         (span.iter().filter(|(_, served)| *served).count(), span.len())
     };
-    let (before, during, after) = (share(begin - ms(4_000), begin), share(begin, removed), share(removed + ms(3_000), Instant::now()));
-    say(&format!("served before: {} of {}; while the entries stood: {} of {}; later than 3 s after their removal: {} of {}",
-        before.0, before.1, during.0, during.1, after.0, after.1));
+    let spans = [(begin - ms(4_000), begin), (begin + ms(3_000), removed), (removed + ms(3_000), Instant::now())];
+    for (clients, all) in [("with long flows", &attempts), ("with a flow for each request", &fresh)] {
+        let [before, during, after] = spans.map(|(from, to)| share_of(all, from, to));
+        say(&format!(
+            "clients {clients}: served before: {} of {}; from 3 s after the entries came until they went: {} of {}; later than 3 s after they went: {} of {}",
+            before.0, before.1, during.0, during.1, after.0, after.1
+        ));
+    }
     say(&format!("open flows that a balancer reset although their target lives: {broken}; requests on them that had run and were never answered: {lost}"));
     balancers.clear();
     drop(targets);
