--- a/review/stand-in-2/common.rs
+++ b/review/stand-in-2/common.rs
@@ -79,6 +79,28 @@
     record(line);
 }
 
+/// What clients sent and how it ended, for [`record_traffic`].
+static TRAFFIC: Mutex<Vec<(Instant, &'static str)>> = Mutex::new(Vec::new());
+
+fn note(sent_at: Instant, ending: &'static str) {
+    lock(&TRAFFIC).push((sent_at, ending));
+}
+
+/// Writes, for each second, what clients sent, how it ended, and what targets ran.
+pub fn record_traffic(seen: &Seen) {
+    let mut seconds: BTreeMap<u128, BTreeMap<&str, u32>> = BTreeMap::new();
+    for (at, ending) in lock(&TRAFFIC).iter() {
+        *seconds.entry(at_ms(*at) / 1_000).or_default().entry(ending).or_default() += 1;
+    }
+    for run in lock(&seen.runs).iter() {
+        *seconds.entry(at_ms(run.at) / 1_000).or_default().entry("run by targets").or_default() += 1;
+    }
+    for (second, counts) in seconds {
+        let counts: Vec<String> = counts.iter().map(|(ending, n)| format!("{ending} {n}")).collect();
+        record(&format!("second {second}: {}", counts.join(", ")));
+    }
+}
+
 // ---------------------------------------------------------------- addresses
 
 /// Loopback addresses 127.a.b.x and ports of one run.
@@ -1102,7 +1124,14 @@
             opened_at: Instant::now(),
             sent_syn_at: Instant::now(),
         };
-        flow.handshake()?;
+        let opened = flow.handshake();
+        note(flow.sent_syn_at, match &opened {
+            Ok(()) => "flows opened",
+            Err(Outcome::ResetByBalancer) => "flows refused by balancers",
+            Err(Outcome::ResetByTarget) => "flows refused by targets",
+            Err(_) => "flows without an answer",
+        });
+        opened?;
         Ok(flow)
     }
 }
@@ -1146,6 +1175,18 @@
 
     /// Sends a request and waits for its answer; copies after 200 ms, doubling up to 1.6 s.
     pub fn request(&mut self, method: &str, id: u64, budget: Duration) -> Outcome {
+        let sent_at = Instant::now();
+        let outcome = self.exchange(method, id, budget);
+        note(sent_at, match outcome {
+            Outcome::Served => "requests served",
+            Outcome::ResetByBalancer => "requests reset by balancers",
+            Outcome::ResetByTarget => "requests reset by targets",
+            Outcome::TimedOut => "requests without an answer",
+        });
+        outcome
+    }
+
+    fn exchange(&mut self, method: &str, id: u64, budget: Duration) -> Outcome {
         let text = format!("{method} / HTTP/1.1\r\nX-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n").into_bytes();
         let until = Instant::now() + budget;
         let mut wait = ms(200);
--- a/review/stand-in-2/late_evacuation.rs
+++ b/review/stand-in-2/late_evacuation.rs
@@ -124,6 +124,7 @@
         "served {}, not served {}; flows that reached an evacuated zone too late: {late}",
         served.load(Ordering::Relaxed), other.load(Ordering::Relaxed)
     ));
+    record_traffic(&seen);
     balancers.clear();
     drop(targets);
     if std::env::var("KEEP_LOGS").is_ok() {
--- a/review/stand-in-2/namesake.rs
+++ b/review/stand-in-2/namesake.rs
@@ -177,6 +177,7 @@
         ));
     }
     say(&format!("open flows that a balancer reset although their target lives: {broken}; requests on them that had run and were never answered: {lost}"));
+    record_traffic(&seen);
     balancers.clear();
     drop(targets);
     if std::env::var("KEEP_LOGS").is_ok() {
--- a/review/stand-in-2/narrow_link.rs
+++ b/review/stand-in-2/narrow_link.rs
@@ -148,17 +148,6 @@
     let is_late = |a: &&Attempt| acked.get(&a.route).is_some_and(|at| a.sent_at > *at + CONFIG_APPLY + MARGIN);
     let late: Vec<_> = attempts.iter().filter(is_late).collect();
     let refused: Vec<_> = late.iter().filter(|a| a.outcome == Outcome::ResetByBalancer).collect();
-    // Each second: what was sent, and how it ended.
-    for second in 0..=(begin.elapsed().as_secs()) {
-        let from = begin + Duration::from_secs(second);
-        let span = || attempts.iter().filter(|a| a.sent_at >= from && a.sent_at < from + Duration::from_secs(1));
-        record(&format!(
-            "second {second} since the first version: {} sent, {} served, {} reset by balancers",
-            span().count(),
-            span().filter(|a| a.outcome == Outcome::Served).count(),
-            span().filter(|a| a.outcome == Outcome::ResetByBalancer).count()
-        ));
-    }
     for a in refused.iter().take(MAX_LINES) {
         record(&format!(
             "REFUSED: a flow to {} whose opening packet was sent at {} ms, {} ms after its route was acknowledged",
@@ -171,6 +160,7 @@
         "{} requests, served {served}; {} sent later than {} ms after the ack of their route, {} of them refused for want of it, the last {last} ms after the ack",
         attempts.len(), late.len(), CONFIG_APPLY.as_millis(), refused.len()
     ));
+    record_traffic(&seen);
     balancers.clear();
     drop(targets);
     if std::env::var("KEEP_LOGS").is_ok() {
--- a/review/stand-in-2/stale_reads.rs
+++ b/review/stand-in-2/stale_reads.rs
@@ -185,6 +185,7 @@
         "{} requests, served {served}; refused for want of a route later than {} ms after its ack: {}; flows that reached a draining target later than {} ms after its ack: {late_flows}",
         attempts.len(), CONFIG_APPLY.as_millis(), refused.len(), DRAIN_TIMEOUT.as_millis()
     ));
+    record_traffic(&seen);
     balancers.clear();
     if std::env::var("KEEP_LOGS").is_ok() {
         say(&format!("logs in {}", dir.display()));
--- a/review/stand-in-2/start_in_place.rs
+++ b/review/stand-in-2/start_in_place.rs
@@ -209,6 +209,7 @@
         "served {}, not served {}; resets by balancers of flows at targets that had ended {ended}; of flows at targets that live {broken}; on these, {waiting} requests that are not idempotent waited for their answer, {lost} of them had run",
         served.load(Ordering::Relaxed), other.load(Ordering::Relaxed)
     ));
+    record_traffic(&seen);
     balancers.clear();
     if std::env::var("KEEP_LOGS").is_ok() {
         say(&format!("logs in {}", dir.display()));
