--- a/review/stand-in-2/start_in_place.rs
+++ b/review/stand-in-2/start_in_place.rs
@@ -16,7 +16,7 @@
 
 /// Length of the planned work.
 const WORK: Duration = Duration::from_secs(70);
-/// `drain_timeout_ms` of valadares-norte-grown, and a little longer.
+/// `drain_timeout_ms` of vunica-zg, and a little longer.
 const LEAVES_AFTER: Duration = Duration::from_millis(5_300);
 /// Pause between the end of a target's process and its next start.
 const DOWN: Duration = Duration::from_millis(300);
